--- /dev/null
+++ b/Makefile
@@ -0,0 +1,53 @@
+# Each target sets up the virtual environment it needs.
+
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+BENCH_STAMP := $(VENV)/.installed-bench
+PACKAGES := $(foreach name,core daemon cli standins,-e packages/celeryferry-$(name))
+
+.PHONY: demo playground test lint format bench pictures golden samples clean
+
+$(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
+	python3 -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps $(PACKAGES)
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m celeryferry_standins.demo
+
+# Keeps the demo's fleet running for ten minutes, to try the command line on it.
+playground: $(STAMP)
+	$(BIN)/python -m celeryferry_standins.playground
+
+test: $(STAMP)
+	$(BIN)/python -m tests.run
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+$(BENCH_STAMP): $(STAMP) requirements-bench.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-bench.txt
+	touch $(BENCH_STAMP)
+
+bench: $(BENCH_STAMP)
+	$(BIN)/python -m bench
+
+# Draws docs/pictures again from the recorded results, without a run.
+pictures: $(BENCH_STAMP)
+	$(BIN)/python -m bench.pictures
+
+golden: $(STAMP)
+	CELERYFERRY_WRITE_GOLDEN=1 $(BIN)/python -m tests.run tests.core.test_golden
+
+samples: $(STAMP)
+	$(BIN)/python samples/generate.py
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of celeryferry against its baseline and its stand-ins."""
--- /dev/null
+++ b/packages/celeryferry-cli/src/celeryferry_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool of celeryferry."""
--- /dev/null
+++ b/packages/celeryferry-cli/src/celeryferry_cli/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of the command-line tool."""
--- /dev/null
+++ b/packages/celeryferry-cli/src/celeryferry_cli/_internal/client.py
@@ -0,0 +1,233 @@
+"""HTTP calls to daemons. No call is ever repeated here."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import StrEnum
+from typing import Any, TypeVar
+
+import aiohttp
+import msgspec
+from result import Err, Ok, Result
+
+from celeryferry_core.models.callers import ErrorAnswer, ErrorBody
+
+CONNECT_TIMEOUT = timedelta(seconds=3)
+MAX_SHOWN_BYTES = 200
+# With these and without a typed error, the HTTP server rejected the request before it
+# reached any code that could run it.
+REJECTED_STATUSES = (401, 403, 404, 405)
+TOKEN_HINT = "the fleet token was not accepted; check --token-file"
+CALLERS_HINT = (
+    "this is a peer listener; give the address of a listener for callers "
+    "(callers_address in the host's settings)"
+)
+PEERS_HINT = (
+    "not found; give the address of a peer listener "
+    "(peers_address in the host's settings)"
+)
+NO_CONNECTION = "no connection; check the address and whether the host is running"
+# Text of the HTTP server for a path that it does not know.
+UNKNOWN_PATH = b"404: Not Found"
+
+Answer = TypeVar("Answer")
+
+
+class CallFailureKind(StrEnum):
+    """How far a call got that brought no answer."""
+
+    NOT_SENT = "not_sent"
+    REJECTED = "rejected"
+    CONNECTION_LOST = "connection_lost"
+    TIMEOUT = "timeout"
+    BAD_ANSWER = "bad_answer"
+
+
+@dataclass(frozen=True, slots=True)
+class CallFailure:
+    """A call that brought no usable answer.
+
+    :param kind: after ``not_sent`` and ``rejected`` nothing ran; after any other kind
+        the request may have run.
+    :param address: daemon that was called.
+    :param detail: what happened.
+    """
+
+    kind: CallFailureKind
+    address: str
+    detail: str
+
+    @property
+    def ran_nothing(self) -> bool:
+        """Whether it is certain that the request did not run."""
+        return self.kind in (CallFailureKind.NOT_SENT, CallFailureKind.REJECTED)
+
+    def __str__(self) -> str:
+        return f"{self.address}: {self.detail}"
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """An error that a daemon answered with.
+
+    :param address: daemon that answered.
+    :param error: the error.
+    """
+
+    address: str
+    error: ErrorBody
+
+    def __str__(self) -> str:
+        return f"{self.address}: {self.error.type}: {self.error.message}"
+
+
+CallError = CallFailure | Refusal
+
+
+class DaemonClient:
+    """Calls daemons over HTTP.
+
+    :param session: session that opens a new connection for each call.
+    :param token: fleet token for peer listeners, None for callers.
+    """
+
+    __slots__ = ("_headers", "_session")
+
+    def __init__(self, session: aiohttp.ClientSession, token: str | None) -> None:
+        self._session = session
+        self._headers = {"Authorization": f"Bearer {token}"} if token else {}
+
+    async def get(
+        self, address: str, path: str, answer: type[Answer], timeout: timedelta
+    ) -> Result[Answer, CallError]:
+        """Send a GET request.
+
+        :param address: ``ip:port`` of the daemon.
+        :param path: path with query.
+        :param answer: type of the answer.
+        :param timeout: longest time of the whole call.
+        :returns: the answer or why there is none.
+        """
+        return await self._call("GET", address, path, None, answer, timeout)
+
+    async def post(
+        self,
+        address: str,
+        path: str,
+        message: Any,
+        answer: type[Answer],
+        timeout: timedelta,
+    ) -> Result[Answer, CallError]:
+        """Send a POST request.
+
+        :param address: ``ip:port`` of the daemon.
+        :param path: path.
+        :param message: value sent as JSON.
+        :param answer: type of the answer.
+        :param timeout: longest time of the whole call.
+        :returns: the answer or why there is none.
+        """
+        body = msgspec.json.encode(message)
+        return await self._call("POST", address, path, body, answer, timeout)
+
+    async def _call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: bytes | None,
+        answer: type[Answer],
+        timeout: timedelta,
+    ) -> Result[Answer, CallError]:
+        headers = dict(self._headers)
+        if body is not None:
+            headers["Content-Type"] = "application/json"
+        limits = aiohttp.ClientTimeout(
+            total=timeout.total_seconds(),
+            sock_connect=CONNECT_TIMEOUT.total_seconds(),
+        )
+        try:
+            async with self._session.request(
+                method,
+                f"http://{address}{path}",
+                data=body,
+                headers=headers,
+                timeout=limits,
+                allow_redirects=False,
+            ) as response:
+                content = await response.read()
+            has_token = bool(self._headers)
+            return _read_answer(address, response.status, content, answer, has_token)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return _fail(CallFailureKind.NOT_SENT, address, NO_CONNECTION)
+        except TimeoutError:
+            detail = f"no answer within {timeout.total_seconds():g} s"
+            return _fail(CallFailureKind.TIMEOUT, address, detail)
+        except (aiohttp.ClientError, OSError) as error:
+            detail = f"connection lost ({type(error).__name__})"
+            return _fail(CallFailureKind.CONNECTION_LOST, address, detail)
+
+
+@asynccontextmanager
+async def open_client(token: str | None = None) -> AsyncIterator[DaemonClient]:
+    """Open a client.
+
+    :param token: fleet token, None for callers.
+    :returns: context manager of the client.
+    """
+    connector = aiohttp.TCPConnector(force_close=True)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        yield DaemonClient(session, token)
+
+
+async def try_each(addresses: tuple[str, ...], call: Any) -> Result[Any, CallError]:
+    """Call one address after the other until one answers; for repeatable calls only.
+
+    :param addresses: at least one address.
+    :param call: coroutine function from an address to a result.
+    :returns: the first answer or error answer, else the last failure.
+    """
+    result: Result[Any, CallError] | None = None
+    for address in addresses:
+        result = await call(address)
+        if result.is_ok() or isinstance(result.err_value, Refusal):
+            break
+        await asyncio.sleep(0)
+    assert result is not None
+    return result
+
+
+def _read_answer(
+    address: str, status: int, content: bytes, answer: type[Answer], has_token: bool
+) -> Result[Answer, CallError]:
+    try:
+        if status in (200, 202):
+            return Ok(msgspec.json.decode(content, type=answer))
+        error = msgspec.json.decode(content, type=ErrorAnswer).error
+    except msgspec.DecodeError as problem:
+        if status in REJECTED_STATUSES:
+            detail = _explain_rejection(status, content, has_token)
+            return _fail(CallFailureKind.REJECTED, address, f"{status}: {detail}")
+        shown = problem if status < 400 else _show_text(content)
+        detail = f"answer with status {status} that cannot be read: {shown}"
+        return _fail(CallFailureKind.BAD_ANSWER, address, detail)
+    return Err(Refusal(address, error))
+
+
+def _explain_rejection(status: int, content: bytes, has_token: bool) -> str:
+    if status == 401:
+        return TOKEN_HINT if has_token else CALLERS_HINT
+    if has_token and content.strip() == UNKNOWN_PATH:
+        return PEERS_HINT
+    return _show_text(content)
+
+
+def _fail(kind: CallFailureKind, address: str, detail: str) -> Err[CallFailure]:
+    return Err(CallFailure(kind, address, detail))
+
+
+def _show_text(content: bytes) -> str:
+    text = content[:MAX_SHOWN_BYTES].decode("ascii", "replace")
+    return " ".join(text.split())
--- /dev/null
+++ b/packages/celeryferry-cli/src/celeryferry_cli/_internal/command_line.py
@@ -0,0 +1,138 @@
+"""Selection of a command, and its output and exit code."""
+
+import asyncio
+import contextlib
+import difflib
+import io
+import os
+import re
+import sys
+from collections.abc import Sequence
+
+import fire
+
+from celeryferry_cli._internal.commands.check import check
+from celeryferry_cli._internal.commands.drain import drain
+from celeryferry_cli._internal.commands.entry_hosts import entry_hosts
+from celeryferry_cli._internal.commands.explain import explain
+from celeryferry_cli._internal.commands.run_once import run_once
+from celeryferry_cli._internal.commands.search import search
+from celeryferry_cli._internal.commands.status import status
+from celeryferry_cli._internal.reports import ExitCode, Invocation, print_report
+
+COMMANDS = {
+    "check": check,
+    "entry-hosts": entry_hosts,
+    "search": search,
+    "run-once": run_once,
+    "status": status,
+    "explain": explain,
+    "drain": drain,
+}
+
+HELP = """\
+celeryferry: command-line tool of operators and callers
+
+usage: celeryferry COMMAND [ARGUMENTS] [--json]
+
+For operators:
+  check FILE...                 check service documents before they are stored
+  status                        state of the whole fleet
+  explain APPLICATION           how queries of an application are routed now
+  drain                         begin the planned stop of one host
+
+status, explain and drain need --host IP:PORT of a peer listener and
+--token-file FILE with the fleet token.
+
+For callers:
+  entry-hosts APPLICATION       entry hosts to connect to
+  search APPLICATION QUERY      search all shards of an application
+  run-once APPLICATION REQUEST  run a request at most once
+
+These need --host IP:PORT of a listener for callers; several are separated by
+commas, and the next one is tried if a host gives no answer.
+
+celeryferry COMMAND --help describes the arguments of a command.
+--json prints JSON for programs instead of text.
+
+Exit codes: 0 ok, 1 failed, 2 wrong usage or invalid input,
+            3 incomplete coverage, 4 outcome unknown.
+"""
+
+
+def run(arguments: Sequence[str]) -> int:
+    """Run one command.
+
+    :param arguments: words of the command line without the program's name.
+    :returns: exit code of the process.
+    """
+    if not arguments or arguments[0] in ("--help", "-h", "help"):
+        print(HELP, end="")
+        return ExitCode.OK
+    if arguments[0] not in COMMANDS:
+        print(_describe_unknown(arguments[0]), file=sys.stderr)
+        return ExitCode.INVALID
+    # Fire otherwise starts a pager program for long help texts.
+    os.environ["PAGER"] = "-"
+    text = io.StringIO()
+    try:
+        with contextlib.redirect_stderr(text):
+            invocation = fire.Fire(
+                COMMANDS,
+                list(arguments),
+                name="celeryferry",
+                serialize=_hide_invocation,
+            )
+    except fire.core.FireExit as stop:
+        return _explain_stop(arguments[0], stop, text.getvalue())
+    return _execute(invocation)
+
+
+def _describe_unknown(word: str) -> str:
+    similar = difflib.get_close_matches(word, COMMANDS, n=1)
+    hint = f"did you mean {similar[0]!r}? " if similar else ""
+    return (
+        f"unknown command {word!r}; {hint}"
+        f"The commands are {', '.join(COMMANDS)}. The command comes first; "
+        "celeryferry --help describes them."
+    )
+
+
+def _explain_stop(name: str, stop: fire.core.FireExit, text: str) -> int:
+    """Print the help or the error with which Fire stopped.
+
+    :param name: name of the command.
+    :param stop: the stop.
+    :param text: what Fire wrote about it.
+    :returns: exit code of the process.
+    """
+    if isinstance(stop.trace.GetResult(), Invocation):
+        # Fire would explain the fields of ``Invocation`` in place of the command.
+        if not stop.code:
+            return run([name, "--help"])
+        word = stop.trace.elements[-1].ErrorAsStr().rpartition("arg: ")[2]
+        print(
+            f"{word!r} is not an argument of 'celeryferry {name}'; see "
+            f"'celeryferry {name} --help'. Put quotes around a value with spaces.",
+            file=sys.stderr,
+        )
+        return ExitCode.INVALID
+    # Options are written with hyphens everywhere else.
+    text = re.sub(r"--[a-z_]+", lambda found: found[0].replace("_", "-"), text)
+    text = re.sub(r"INFO: Showing help.*\n+", "", text)
+    print(text, end="", file=sys.stderr if stop.code else sys.stdout)
+    return ExitCode.INVALID if stop.code else ExitCode.OK
+
+
+def _execute(invocation: Invocation) -> int:
+    try:
+        report = asyncio.run(invocation.start())
+    except KeyboardInterrupt:
+        print("interrupted")
+        return invocation.interrupted_code
+    print_report(report, invocation.as_json)
+    return report.code
+
+
+def _hide_invocation(result: object) -> object:
+    return None if isinstance(result, Invocation) else result
--- /dev/null
+++ b/packages/celeryferry-cli/src/celeryferry_cli/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module per command."""
--- /dev/null
+++ b/packages/celeryferry-cli/src/celeryferry_cli/_internal/commands/run_once.py
@@ -0,0 +1,239 @@
+"""``celeryferry run-once``."""
+
+import sys
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import msgspec
+from result import Err, Ok, Result
+
+from celeryferry_cli._internal.client import (
+    CallError,
+    CallFailure,
+    DaemonClient,
+    Refusal,
+    open_client,
+    try_each,
+)
+from celeryferry_cli._internal.commands.entry_hosts import fetch_entry_hosts
+from celeryferry_cli._internal.failures import report_failure
+from celeryferry_cli._internal.options import (
+    parse_hosts,
+    parse_json_value,
+    parse_whole,
+    parse_with,
+)
+from celeryferry_cli._internal.reports import ExitCode, Invocation, Report
+from celeryferry_core.models.callers import (
+    ErrorType,
+    Ran,
+    RunOnceAnswer,
+    RunOnceRequest,
+    TicketAnswer,
+    TicketRequest,
+)
+
+DEFAULT_DEADLINE_MS = 10_000
+TICKET_TIMEOUT = timedelta(seconds=5)
+ANSWER_MARGIN = timedelta(seconds=2)
+# Hosts through which one ticket is tried before the tool gives up.
+MAX_ATTEMPTS = 4
+
+
+@dataclass(slots=True)
+class Attempts:
+    """What is known about a ticket after some attempts.
+
+    :param ticket: the ticket.
+    :param was_used: True if the ticket comes from an earlier call of the tool.
+    :param errors: errors of the attempts so far, in order.
+    """
+
+    ticket: str
+    was_used: bool
+    errors: list[CallError] = field(default_factory=list)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an attempt may have started the request.
+
+        A later "not run" says nothing about an attempt without an answer, which may
+        still be on its way to the process that issued the ticket.
+        """
+        return self.was_used or any(
+            not error.ran_nothing
+            if isinstance(error, CallFailure)
+            else error.error.ran is not Ran.NO
+            for error in self.errors
+        )
+
+
+@parse_with(host=parse_hosts, deadline_ms=parse_whole)
+def run_once(
+    application: str,
+    request: str,
+    *,
+    host: tuple[str, ...],
+    service: str | None = None,
+    ticket: str | None = None,
+    deadline_ms: int = DEFAULT_DEADLINE_MS,
+    json: bool = False,
+) -> Invocation:
+    """Run a non-repeatable request at most once.
+
+    Takes a ticket and runs the request with it. If a host gives no answer, the same
+    ticket is tried through another entry host, which never runs the request twice.
+    Exit code 0: it ran; 1: it failed, see the text; 4: it may or may not have run.
+
+    :param application: application of the request.
+    :param request: JSON value; any other text is sent as a JSON string.
+    :param host: ip:port of one or more listeners for callers, separated by commas.
+    :param service: service of the request, if the application has several.
+    :param ticket: ticket of an earlier attempt; else a new one is taken.
+    :param deadline_ms: longest time of an attempt in milliseconds.
+    :param json: print JSON instead of text.
+    """
+    body = parse_json_value(request)
+
+    async def start() -> Report:
+        async with open_client() as client:
+            taken = await _take_ticket(client, host, application, service, ticket)
+            if isinstance(taken, Err):
+                return _report_no_ticket(taken.err_value)
+            message = RunOnceRequest(taken.ok_value, body, deadline_ms)
+            hosts = await _list_hosts(client, host, application)
+            attempts = Attempts(message.ticket, was_used=ticket is not None)
+            return await _run(client, hosts, message, attempts)
+
+    return Invocation(start, json, interrupted_code=ExitCode.UNKNOWN)
+
+
+async def _take_ticket(
+    client: DaemonClient,
+    hosts: tuple[str, ...],
+    application: str,
+    service: str | None,
+    ticket: str | None,
+) -> Result[str, CallError]:
+    if ticket is not None:
+        return Ok(ticket)
+    message = TicketRequest(application, service)
+    result = await try_each(
+        hosts,
+        lambda address: client.post(
+            address, "/v1/tickets", message, TicketAnswer, TICKET_TIMEOUT
+        ),
+    )
+    if isinstance(result, Err):
+        return result
+    answer = result.ok_value
+    # Printed before the request is sent, so that the ticket is known after a crash.
+    print(
+        f"ticket {answer.ticket}, valid for {answer.expires_in_ms} ms", file=sys.stderr
+    )
+    return Ok(answer.ticket)
+
+
+async def _list_hosts(
+    client: DaemonClient, hosts: tuple[str, ...], application: str
+) -> tuple[str, ...]:
+    result = await try_each(
+        hosts, lambda address: fetch_entry_hosts(client, address, application)
+    )
+    others = [host.address for host in result.ok_value.hosts] if result.is_ok() else []
+    return tuple(dict.fromkeys([*hosts, *others]))[:MAX_ATTEMPTS]
+
+
+async def _run(
+    client: DaemonClient,
+    hosts: tuple[str, ...],
+    message: RunOnceRequest,
+    attempts: Attempts,
+) -> Report:
+    timeout = timedelta(milliseconds=message.deadline_ms) + ANSWER_MARGIN
+    for address in hosts:
+        result = await client.post(
+            address, "/v1/run-once", message, RunOnceAnswer, timeout
+        )
+        match result:
+            case Ok(answer):
+                return _report_ran(answer, attempts)
+            case Err(error):
+                is_last = _is_final(error, attempts)
+                attempts.errors.append(error)
+                if is_last:
+                    break
+    return _report_error(attempts)
+
+
+def _is_final(error: CallError, attempts: Attempts) -> bool:
+    match error:
+        case Refusal(error=body):
+            is_settled = body.ran is Ran.YES or _expired_unrun(error)
+            return is_settled or _is_malformed(error) or not attempts.may_have_run
+    return False
+
+
+def _expired_unrun(error: CallError) -> bool:
+    # The issuer never runs an expired ticket, so this holds for all attempts.
+    return isinstance(error, Refusal) and (
+        error.error.type is ErrorType.TICKET_EXPIRED and error.error.ran is Ran.NO
+    )
+
+
+def _is_malformed(error: CallError) -> bool:
+    # Every host judges the text of a ticket alike.
+    return isinstance(error, Refusal) and error.error.type is ErrorType.TICKET_UNKNOWN
+
+
+def _report_ran(answer: RunOnceAnswer, attempts: Attempts) -> Report:
+    lines = [f"attempt through {error}" for error in attempts.errors]
+    lines += ["ran: yes", f"result: {bytes(answer.result).decode()}"]
+    return Report(ExitCode.OK, tuple(lines), answer)
+
+
+def _report_no_ticket(error: CallError) -> Report:
+    failure = report_failure(error)
+    kept = (line for line in failure.lines if not line.startswith("ran: "))
+    lines = (*kept, "ran: no (no ticket was given out)")
+    code = ExitCode.FAILED if failure.code is ExitCode.UNKNOWN else failure.code
+    return Report(code, lines, failure.record)
+
+
+def _report_error(attempts: Attempts) -> Report:
+    last = attempts.errors[-1]
+    lines = [f"attempt through {error}" for error in attempts.errors]
+    retry = f"retry with --ticket {attempts.ticket} before the ticket expires"
+    if isinstance(last, Refusal) and last.error.ran is Ran.YES:
+        ran, advice = Ran.YES, f"the result is missing; {retry} to get it"
+        code = ExitCode.FAILED
+    elif _expired_unrun(last):
+        ran, advice = Ran.NO, "to run it, take a new ticket"
+        code = ExitCode.FAILED
+    elif attempts.was_used and _is_malformed(last):
+        # The ticket that is meant may have run.
+        ran, code = Ran.UNKNOWN, ExitCode.INVALID
+        advice = "check the text after --ticket; nothing ran with this text"
+    elif attempts.may_have_run:
+        ran, code = Ran.UNKNOWN, ExitCode.UNKNOWN
+        advice = f"to learn more, {retry}; a new ticket may run the request twice"
+    else:
+        ran, advice = Ran.NO, f"to run it, {retry}, or take a new ticket"
+        code = ExitCode.FAILED
+        if isinstance(last, Refusal):
+            code = report_failure(last).code
+    record = {
+        "ticket": attempts.ticket,
+        "ran": ran,
+        "advice": advice,
+        "attempts": [_record_of(error) for error in attempts.errors],
+    }
+    return Report(code, (*lines, f"ran: {ran}", advice), record)
+
+
+def _record_of(error: CallError) -> dict[str, object]:
+    match error:
+        case Refusal(address, body):
+            return {"address": address, "error": msgspec.to_builtins(body)}
+        case CallFailure(kind, address, detail):
+            return {"address": address, "failure": kind, "detail": detail}
--- /dev/null
+++ b/packages/celeryferry-cli/src/celeryferry_cli/_internal/failures.py
@@ -0,0 +1,68 @@
+"""Reports about calls that failed."""
+
+from pathlib import Path
+
+from result import Err, Ok, Result
+
+from celeryferry_cli._internal.client import CallError, CallFailure, Refusal
+from celeryferry_cli._internal.reports import ExitCode, Report
+from celeryferry_core.models.callers import ErrorType, Ran
+from celeryferry_core.settings import read_token
+
+_INVALID_TYPES = (ErrorType.BAD_REQUEST, ErrorType.TOO_LARGE)
+
+
+def report_failure(error: CallError) -> Report:
+    """Describe a failed call whose repetition does no harm.
+
+    :param error: what went wrong.
+    :returns: the report.
+    """
+    match error:
+        case Refusal(address, body):
+            return Report(_code_of(error), _describe(error), {"error": body})
+        case CallFailure(kind, address, detail):
+            record = {"failure": kind, "address": address, "detail": detail}
+            return Report(ExitCode.FAILED, (str(error),), {"error": record})
+
+
+def load_token(token_file: str | None) -> Result[str, Report]:
+    """Read the fleet token for an operator command.
+
+    :param token_file: file given on the command line.
+    :returns: the token, or a report about what is wrong.
+    """
+    if token_file is None:
+        return Err(report_invalid("operator commands need --token-file FILE"))
+    match read_token(Path(token_file)):
+        case Ok(token):
+            return Ok(token)
+        case Err(error):
+            return Err(report_invalid(str(error)))
+
+
+def report_invalid(message: str) -> Report:
+    """Describe wrong usage.
+
+    :param message: what is wrong and what to do.
+    :returns: the report.
+    """
+    return Report(ExitCode.INVALID, (message,), {"error": {"message": message}})
+
+
+def _code_of(refusal: Refusal) -> ExitCode:
+    if refusal.error.type in _INVALID_TYPES:
+        return ExitCode.INVALID
+    if refusal.error.ran is Ran.UNKNOWN:
+        return ExitCode.UNKNOWN
+    return ExitCode.FAILED
+
+
+def _describe(refusal: Refusal) -> tuple[str, ...]:
+    error = refusal.error
+    lines = [str(refusal), f"ran: {error.ran}"]
+    if error.retry_after_ms:
+        lines.append(f"retry after: {error.retry_after_ms} ms")
+    if error.query_id:
+        lines.append(f"query id: {error.query_id}")
+    return tuple(lines)
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/__init__.py
@@ -0,0 +1,1 @@
+"""Models, messages and decisions of the celeryferry query tier."""
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Data classes of decisions, one module per component."""
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/decisions/fleet.py
@@ -0,0 +1,234 @@
+"""Decisions on leases, configuration and hosts."""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from celeryferry_core.decisions.base import Decision
+
+
+@dataclass(frozen=True, slots=True)
+class _LeaseDecision(Decision):
+    PREFIX: ClassVar[str] = "lease:"
+
+
+@dataclass(frozen=True, slots=True)
+class KeysHeld(_LeaseDecision):
+    """The set of held keys changed.
+
+    :param acquired: ownership keys that are new.
+    :param lost: ownership keys that are no longer held.
+    """
+
+    SENTENCE: ClassVar[str] = "held keys changed"
+
+    acquired: tuple[str, ...]
+    lost: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class KeysReleased(_LeaseDecision):
+    """Keys were handed over.
+
+    :param keys: released ownership keys.
+    """
+
+    SENTENCE: ClassVar[str] = "released keys to a better-ranked host"
+
+    keys: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GrantsConflict(_LeaseDecision):
+    """Partial grants were given up.
+
+    :param keys: ownership keys whose grants were given up.
+    :param witness: host whose refusal showed the conflict.
+    """
+
+    SENTENCE: ClassVar[str] = "gave up partial grants because another host has some"
+
+    keys: tuple[str, ...]
+    witness: str
+
+
+@dataclass(frozen=True, slots=True)
+class LeasesDropped(_LeaseDecision):
+    """All leases were dropped after a pause.
+
+    :param gap_ms: length of the pause in milliseconds.
+    """
+
+    SENTENCE: ClassVar[str] = "dropped all leases after a pause of the event loop"
+
+    gap_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class _ConfigDecision(Decision):
+    PREFIX: ClassVar[str] = "config:"
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentActivated(_ConfigDecision):
+    """A document became active.
+
+    :param name: name of the document.
+    :param version: version in the document.
+    :param revision: revision of the configuration service.
+    :param source: where it came from.
+    """
+
+    SENTENCE: ClassVar[str] = "activated document"
+
+    name: str
+    version: int
+    revision: int
+    source: str
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentRejected(_ConfigDecision):
+    """A document was not activated; the last valid one stays.
+
+    :param name: name of the document.
+    :param revision: revision of the configuration service.
+    :param source: where it came from.
+    :param reason: what to correct.
+    """
+
+    SENTENCE: ClassVar[str] = "rejected document; the active one stays"
+
+    name: str
+    revision: int
+    source: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class StartupFinished(_ConfigDecision):
+    """The first configuration is complete.
+
+    :param documents: number of active documents.
+    :param peers_asked: number of peers asked.
+    :param peers_answered: number of peers that answered.
+    :param service_answered: whether the configuration service answered.
+    """
+
+    SENTENCE: ClassVar[str] = "start-up configuration is complete"
+
+    documents: int
+    peers_asked: int
+    peers_answered: int
+    service_answered: bool
+
+
+@dataclass(frozen=True, slots=True)
+class StartupWithoutPeers(_ConfigDecision):
+    """No peer could be asked.
+
+    :param peers_asked: number of peers asked.
+    """
+
+    SENTENCE: ClassVar[str] = (
+        "no listed peer has a configuration; using the configuration service alone"
+    )
+
+    peers_asked: int
+
+
+@dataclass(frozen=True, slots=True)
+class WatchFailed(_ConfigDecision):
+    """The configuration service did not answer.
+
+    :param detail: what happened.
+    """
+
+    SENTENCE: ClassVar[str] = "configuration service did not answer; trying again"
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class WatcherChanged(_ConfigDecision):
+    """This host starts or stops watching.
+
+    :param watching: whether this host watches from now on.
+    """
+
+    SENTENCE: ClassVar[str] = "changed watching of the configuration service"
+
+    watching: bool
+
+
+@dataclass(frozen=True, slots=True)
+class FreshnessChanged(_ConfigDecision):
+    """The configuration became usable or may be out of date.
+
+    :param may_act: whether new work is taken.
+    :param service_age_ms: age of the latest confirmation in milliseconds, None if there
+        is none.
+    """
+
+    SENTENCE: ClassVar[str] = "freshness of the configuration changed"
+
+    may_act: bool
+    service_age_ms: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class _HostsDecision(Decision):
+    PREFIX: ClassVar[str] = "hosts:"
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipChanged(_HostsDecision):
+    """The view of the hosts changed.
+
+    :param listed: number of listed hosts.
+    :param not_live: ids of listed hosts that are not live.
+    :param leaving: ids of leaving hosts.
+    :param leaving_upstreams: addresses of leaving upstreams.
+    """
+
+    SENTENCE: ClassVar[str] = "view of the hosts changed"
+
+    listed: int
+    not_live: tuple[str, ...]
+    leaving: tuple[str, ...]
+    leaving_upstreams: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HostListFailed(_HostsDecision):
+    """The host list could not be read.
+
+    :param detail: what happened.
+    """
+
+    SENTENCE: ClassVar[str] = "host list could not be read; keeping the last one"
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class StateChanged(_HostsDecision):
+    """The state of this host changed.
+
+    :param state: new state.
+    """
+
+    SENTENCE: ClassVar[str] = "state of this host changed"
+
+    state: str
+
+
+@dataclass(frozen=True, slots=True)
+class StopTimedOut(_HostsDecision):
+    """Running work was cut off at the end of a planned stop.
+
+    :param waited_ms: time waited in milliseconds.
+    """
+
+    SENTENCE: ClassVar[str] = "running work did not finish in time and was cut off"
+
+    waited_ms: int
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/decisions/front.py
@@ -0,0 +1,170 @@
+"""Decisions of the front role."""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from celeryferry_core.decisions.base import Decision
+
+
+@dataclass(frozen=True, slots=True)
+class _FrontDecision(Decision):
+    """Base of decisions about a query.
+
+    :param query_id: id of the query.
+    """
+
+    PREFIX: ClassVar[str] = "front:"
+
+    query_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class QueryPlanned(_FrontDecision):
+    """A query was pinned to an index version.
+
+    :param application: application searched.
+    :param snapshot: pinned index version, None if none is known.
+    :param shard_count: shards of the snapshot.
+    :param available_count: shards with a live replica that holds the version.
+    :param deadline_ms: time for the query in milliseconds.
+    :param hedge_delay_ms: time before pending subqueries are hedged, in milliseconds.
+    """
+
+    SENTENCE: ClassVar[str] = "query planned"
+
+    application: str
+    snapshot: int | None
+    shard_count: int
+    available_count: int
+    deadline_ms: float
+    hedge_delay_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class _ShardDecision(_FrontDecision):
+    """Base of decisions about one shard of a query.
+
+    :param service: service of the shard.
+    :param shard: name of the shard.
+    :param upstream: address of the replica, None if there is none.
+    :param host_id: owner of the replica, None if there is none.
+    :param reason: why it was decided so.
+    """
+
+    service: str
+    shard: str
+    upstream: str | None
+    host_id: str | None
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class _ReplicaDecision(_ShardDecision):
+    """Base of decisions that choose a replica.
+
+    :param candidates: addresses that configuration and host list allow.
+    """
+
+    candidates: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ShardRouted(_ReplicaDecision):
+    """A replica was chosen for a shard, or none with the reason."""
+
+    SENTENCE: ClassVar[str] = "shard routed"
+
+
+@dataclass(frozen=True, slots=True)
+class ShardHedged(_ReplicaDecision):
+    """A pending shard was also asked elsewhere, or not with the reason."""
+
+    SENTENCE: ClassVar[str] = "shard hedged"
+
+
+@dataclass(frozen=True, slots=True)
+class ShardRetried(_ReplicaDecision):
+    """A failed shard was asked elsewhere, or not with the reason.
+
+    :param cause: outcome of the previous subquery.
+    """
+
+    SENTENCE: ClassVar[str] = "shard retried"
+
+    cause: str
+
+
+@dataclass(frozen=True, slots=True)
+class ShardRedirected(_ShardDecision):
+    """An owner named another host for a shard."""
+
+    SENTENCE: ClassVar[str] = "shard redirected"
+
+
+@dataclass(frozen=True, slots=True)
+class EntryDropped(_ShardDecision):
+    """An entry was not what this query asked for."""
+
+    SENTENCE: ClassVar[str] = "entry dropped"
+
+
+@dataclass(frozen=True, slots=True)
+class QueryReplanned(_FrontDecision):
+    """A query was moved to a newer index version.
+
+    :param old_snapshot: version that is gone.
+    :param snapshot: new version.
+    :param dropped_count: answers from the old version that were dropped.
+    """
+
+    SENTENCE: ClassVar[str] = "query re-planned"
+
+    old_snapshot: int
+    snapshot: int
+    dropped_count: int
+
+
+@dataclass(frozen=True, slots=True)
+class QueryCovered(_FrontDecision):
+    """A query ended.
+
+    :param snapshot: index version of the answer.
+    :param covered_count: shards in the answer.
+    :param missing: missing shards as ``service/shard:reason``.
+    :param elapsed_ms: time in this host in milliseconds.
+    """
+
+    SENTENCE: ClassVar[str] = "query covered"
+
+    snapshot: int | None
+    covered_count: int
+    missing: tuple[str, ...]
+    elapsed_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class QueryRefused(_FrontDecision):
+    """A query was refused before anything was sent.
+
+    :param application: application searched.
+    :param reason: type of the error.
+    :param retry_after_ms: earliest useful retry in milliseconds.
+    """
+
+    SENTENCE: ClassVar[str] = "query refused"
+
+    application: str
+    reason: str
+    retry_after_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class QueryAbandoned(_FrontDecision):
+    """The caller disconnected; the query and its batches were cancelled.
+
+    :param pending_count: shards that were still pending.
+    """
+
+    SENTENCE: ClassVar[str] = "query abandoned"
+
+    pending_count: int
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/documents.py
@@ -0,0 +1,293 @@
+"""Service documents: parsing with every mistake reported, and rendering."""
+
+from collections import defaultdict
+from collections.abc import Sequence
+
+from result import Err, Ok, Result
+
+from celeryferry_core.checking import TableReader
+from celeryferry_core.exceptions import DocumentErrors, FieldError
+from celeryferry_core.findings import Findings, parse_toml, show_value
+from celeryferry_core.models.topology import (
+    Hedging,
+    Preference,
+    Replica,
+    Retries,
+    ServiceDocument,
+    Shard,
+    UpstreamLimits,
+)
+
+SCHEMA = 1
+# The configuration service stores values up to 1 MB.
+MAX_DOCUMENT_BYTES = 1_000_000
+# Whole numbers above this are not exact in every JSON reader.
+MAX_VERSION = 2**53 - 1
+MAX_DEADLINE_MS = 60_000
+MAX_SLOTS = 10_000
+MAX_CONNECTIONS = 100_000
+MAX_CONNECT_COST_MS = 60_000.0
+MAX_BUDGET_PERCENT = 100.0
+MAX_FLOOR_MS = 60_000.0
+MAX_SHARDS = 10_000
+MAX_REPLICAS = 1_000
+
+
+def parse_document(text: str) -> Result[ServiceDocument, DocumentErrors]:
+    """Parse and check a service document.
+
+    :param text: TOML source.
+    :returns: the document, or every mistake in it.
+    """
+    size_bytes = len(text.encode(errors="surrogatepass"))
+    if size_bytes > MAX_DOCUMENT_BYTES:
+        allowed = f"at most {MAX_DOCUMENT_BYTES} bytes; split the service"
+        error = FieldError("", f"a document of {size_bytes} bytes", allowed)
+        return Err(DocumentErrors((error,)))
+    match parse_toml(text):
+        case Err(error):
+            return Err(DocumentErrors((error,)))
+        case Ok(table):
+            findings = Findings(text)
+            document = _read_document(TableReader(findings, table))
+            if findings.errors:
+                return Err(DocumentErrors(findings.sorted_errors()))
+            return Ok(document)
+
+
+# A field that is wrong is None in the objects built below; such an object never
+# leaves this module, because every None comes with a recorded mistake.
+def _read_document(top: TableReader) -> ServiceDocument:
+    top.read_whole("schema", SCHEMA, SCHEMA)
+    preference = top.read_choice("preference", tuple(Preference))
+    document = ServiceDocument(
+        version=top.read_whole("version", 1, MAX_VERSION),
+        application=top.read_name("application"),
+        service=top.read_name("service"),
+        team=top.read_name("team"),
+        preference=Preference(preference) if preference else Preference.COVERAGE,
+        repeatable=top.read_flag("repeatable"),
+        deadline_ms=top.read_whole("deadline_ms", 1, MAX_DEADLINE_MS),
+        answer_within_ms=top.read_whole("answer_within_ms", 1, MAX_DEADLINE_MS),
+        failure_domains_out=top.read_names("failure_domains_out"),
+        upstreams=_read_upstreams(top.open_table("upstreams")),
+        shards=_read_shards(top),
+        hedging=_read_hedging(top.open_table("hedging")),
+        retries=_read_retries(top.open_table("retries")),
+    )
+    _check_order(
+        top,
+        "answer_within_ms",
+        document.answer_within_ms,
+        "deadline_ms",
+        document.deadline_ms,
+    )
+    _check_domains_out(top, document)
+    top.close()
+    return document
+
+
+def _read_upstreams(table: TableReader) -> UpstreamLimits:
+    limits = UpstreamLimits(
+        slots=table.read_whole("slots", 1, MAX_SLOTS),
+        connections=table.read_whole("connections", 1, MAX_CONNECTIONS),
+        cold_limit=table.read_whole("cold_limit", 1, MAX_SLOTS, default=1),
+        connect_cost_ms=table.read_number(
+            "connect_cost_ms", 0.0, MAX_CONNECT_COST_MS, default=0.0
+        ),
+    )
+    _check_order(table, "cold_limit", limits.cold_limit, "slots", limits.slots)
+    _check_order(table, "slots", limits.slots, "connections", limits.connections)
+    table.close()
+    return limits
+
+
+def _read_hedging(table: TableReader) -> Hedging:
+    default = Hedging()
+    hedging = Hedging(
+        budget_percent=table.read_number(
+            "budget_percent", 0.0, MAX_BUDGET_PERCENT, default.budget_percent
+        ),
+        floor_ms=table.read_number("floor_ms", 0.0, MAX_FLOOR_MS, default.floor_ms),
+    )
+    table.close()
+    return hedging
+
+
+def _read_retries(table: TableReader) -> Retries:
+    default = Retries().budget_percent
+    retries = Retries(
+        table.read_number("budget_percent", 0.0, MAX_BUDGET_PERCENT, default)
+    )
+    table.close()
+    return retries
+
+
+def _read_shards(top: TableReader) -> tuple[Shard, ...]:
+    # A document that is deleted stays active; an explicit empty array retires it.
+    tables = top.open_tables("shards", MAX_SHARDS, least=0)
+    domain_places: dict[str, tuple[str, str]] = {}
+    shards = tuple(_read_shard(table, domain_places) for table in tables)
+    _check_snapshot_ranges(tables, shards)
+    _check_groups(tables, shards)
+    return shards
+
+
+def _read_shard(table: TableReader, domain_places: dict[str, tuple[str, str]]) -> Shard:
+    replica_tables = table.open_tables("replicas", MAX_REPLICAS)
+    shard = Shard(
+        name=table.read_name("name"),
+        replicas=tuple(_read_replica(replica) for replica in replica_tables),
+        first_snapshot=table.read_whole("first_snapshot", 0, MAX_VERSION, default=0),
+        last_snapshot=table.read_whole("last_snapshot", 0, MAX_VERSION, default=None),
+        group=table.read_name("group", default=None),
+    )
+    _check_order(
+        table,
+        "first_snapshot",
+        shard.first_snapshot,
+        "last_snapshot",
+        shard.last_snapshot,
+    )
+    _check_replicas(replica_tables, shard.replicas, domain_places)
+    table.close()
+    return shard
+
+
+def _read_replica(table: TableReader) -> Replica:
+    replica = Replica(table.read_address("address"), table.read_name("failure_domain"))
+    table.close()
+    return replica
+
+
+def _check_order(
+    table: TableReader, low_name: str, low: int | None, high_name: str, high: int | None
+) -> None:
+    if low is not None and high is not None and low > high:
+        table.reject(low_name, str(low), f"at most {high_name}, which is {high}")
+
+
+def _check_domains_out(top: TableReader, document: ServiceDocument) -> None:
+    used = {
+        replica.failure_domain
+        for shard in document.shards
+        for replica in shard.replicas
+        if replica.failure_domain is not None
+    }
+    for name in document.failure_domains_out:
+        if used and name not in used:
+            rule = "failure domains of the replicas: " + ", ".join(sorted(used))
+            top.reject("failure_domains_out", show_value(name), rule)
+
+
+def _check_replicas(
+    tables: Sequence[TableReader],
+    replicas: Sequence[Replica],
+    domain_places: dict[str, tuple[str, str]],
+) -> None:
+    places: dict[str, str] = {}
+    for table, replica in zip(tables, replicas, strict=True):
+        address, failure_domain = replica.address, replica.failure_domain
+        if address is None:
+            continue
+        if address in places:
+            rule = f"each replica once in a shard; {places[address]} has this address"
+            table.reject("address", show_value(address), rule)
+        places.setdefault(address, table.place)
+        if failure_domain is None:
+            continue
+        known, place = domain_places.setdefault(address, (failure_domain, table.place))
+        if known != failure_domain:
+            rule = f"{show_value(known)}, as {place} states for the same address"
+            table.reject("failure_domain", show_value(failure_domain), rule)
+
+
+def _check_groups(tables: Sequence[TableReader], shards: Sequence[Shard]) -> None:
+    # An upstream in two groups would have two owners, each with a limit of its own.
+    known: dict[str, tuple[str | None, str]] = {}
+    for table, shard in zip(tables, shards, strict=True):
+        for replica in shard.replicas:
+            if replica.address is None:
+                continue
+            entry = (shard.group, table.place)
+            group, place = known.setdefault(replica.address, entry)
+            if group != shard.group:
+                rule = f"the group of {place}, which has {replica.address} as well"
+                table.reject("group", show_value(shard.group), rule)
+                break
+
+
+def _check_snapshot_ranges(
+    tables: Sequence[TableReader], shards: Sequence[Shard]
+) -> None:
+    by_name: dict[str, list[tuple[int, float, TableReader]]] = defaultdict(list)
+    for table, shard in zip(tables, shards, strict=True):
+        if shard.name is None or shard.first_snapshot is None:
+            continue
+        last = float("inf") if shard.last_snapshot is None else shard.last_snapshot
+        by_name[shard.name].append((shard.first_snapshot, last, table))
+    for name, ranges in by_name.items():
+        ranges.sort(key=lambda entry: entry[:2])
+        _, widest_last, widest_table = ranges[0]
+        for first, last, table in ranges[1:]:
+            if first <= widest_last:
+                rule = (
+                    "shards of the same name only with snapshot ranges that do not "
+                    f"overlap; {widest_table.place} overlaps"
+                )
+                table.reject("name", show_value(name), rule)
+            if last > widest_last:
+                widest_last, widest_table = last, table
+
+
+def render_document(document: ServiceDocument) -> str:
+    """Write a document as TOML.
+
+    :param document: a checked document.
+    :returns: TOML source that parses to the same document.
+    """
+    limits = document.upstreams
+    domains_out = ", ".join(f'"{name}"' for name in document.failure_domains_out)
+    lines = [
+        f"schema = {SCHEMA}",
+        f"version = {document.version}",
+        f'application = "{document.application}"',
+        f'service = "{document.service}"',
+        f'team = "{document.team}"',
+        f'preference = "{document.preference}"',
+        f"repeatable = {str(document.repeatable).lower()}",
+        f"deadline_ms = {document.deadline_ms}",
+        f"answer_within_ms = {document.answer_within_ms}",
+        f"failure_domains_out = [{domains_out}]",
+        "\n[upstreams]",
+        f"slots = {limits.slots}",
+        f"connections = {limits.connections}",
+        f"cold_limit = {limits.cold_limit}",
+        f"connect_cost_ms = {limits.connect_cost_ms}",
+        "\n[hedging]",
+        f"budget_percent = {document.hedging.budget_percent}",
+        f"floor_ms = {document.hedging.floor_ms}",
+        "\n[retries]",
+        f"budget_percent = {document.retries.budget_percent}",
+    ]
+    if not document.shards:
+        lines.insert(0, "shards = []")
+    for shard in document.shards:
+        lines += _render_shard(shard)
+    return "\n".join(lines) + "\n"
+
+
+def _render_shard(shard: Shard) -> list[str]:
+    lines = ["\n[[shards]]", f'name = "{shard.name}"']
+    if shard.first_snapshot:
+        lines.append(f"first_snapshot = {shard.first_snapshot}")
+    if shard.last_snapshot is not None:
+        lines.append(f"last_snapshot = {shard.last_snapshot}")
+    if shard.group is not None:
+        lines.append(f'group = "{shard.group}"')
+    replicas = [
+        f'  {{ address = "{replica.address}", '
+        f'failure_domain = "{replica.failure_domain}" }},'
+        for replica in shard.replicas
+    ]
+    return [*lines, "replicas = [", *replicas, "]"]
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/lease_witness.py
@@ -0,0 +1,121 @@
+"""The granting side of leases."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from celeryferry_core.lease_messages import (
+    EXTRA_PROBES,
+    LEASE,
+    MIN_ROUND_GAP,
+    LeaseReply,
+    LeaseRequest,
+    LeaseSender,
+)
+from celeryferry_core.models.messages import LeaseRefusal
+
+# The latest sequence of a process is remembered this long after its last probe, so
+# that a delayed probe is recognized and memory stays bounded.
+SEQUENCE_TIME = 10 * LEASE
+
+
+@dataclass(frozen=True, slots=True)
+class _Grant:
+    sender: LeaseSender
+    until: timedelta
+
+
+class LeaseWitness:
+    """Grants each key to one process at a time.
+
+    :param started_at: monotonic time at which the process started.
+    :param startup_wait: time without grants after the start. A shorter time than
+        ``LEASE`` is for tests only: grants made before a restart are unknown.
+    """
+
+    __slots__ = ("_grants", "_open_at", "_pruned_at", "_sequences")
+
+    def __init__(self, started_at: timedelta, startup_wait: timedelta = LEASE) -> None:
+        self._open_at = started_at + startup_wait
+        self._pruned_at = started_at
+        self._grants: dict[str, _Grant] = {}
+        self._sequences: dict[LeaseSender, tuple[int, timedelta]] = {}
+
+    def decide(
+        self, sender: LeaseSender, request: LeaseRequest, now: timedelta
+    ) -> LeaseReply:
+        """Release and grant keys.
+
+        :param sender: process that sent the probe.
+        :param request: keys of the probe.
+        :param now: monotonic time of receipt.
+        :returns: which keys are granted.
+        """
+        self._prune(now)
+        if self._is_delayed(sender, request.sequence):
+            # A delayed probe must not undo what a later one released or renewed.
+            return LeaseReply((), _refuse_all(request.wanted))
+        if self._is_too_far(sender, request.sequence, now):
+            return LeaseReply((), _refuse_all(request.wanted))
+        self._sequences[sender] = (request.sequence, now)
+        for key in request.released:
+            grant = self._grants.get(key)
+            if grant is not None and grant.sender == sender:
+                del self._grants[key]
+        if now < self._open_at:
+            return LeaseReply((), _refuse_all(request.wanted))
+        return self._grant(sender, request.wanted, now)
+
+    def holder_of(self, key: str, now: timedelta) -> str | None:
+        """Return the host that holds a grant of this witness.
+
+        :param key: ownership key.
+        :param now: present monotonic time.
+        :returns: host id, or None.
+        """
+        grant = self._grants.get(key)
+        return grant.sender.host_id if grant and now < grant.until else None
+
+    def _grant(
+        self, sender: LeaseSender, wanted: tuple[str, ...], now: timedelta
+    ) -> LeaseReply:
+        granted = []
+        refused = []
+        for key in wanted:
+            grant = self._grants.get(key)
+            if grant and grant.sender != sender and now < grant.until:
+                refused.append(LeaseRefusal(key, grant.sender.host_id))
+                continue
+            self._grants[key] = _Grant(sender, now + LEASE)
+            granted.append(key)
+        return LeaseReply(tuple(granted), tuple(refused))
+
+    def _is_delayed(self, sender: LeaseSender, sequence: int) -> bool:
+        latest = self._sequences.get(sender)
+        return latest is not None and sequence < latest[0]
+
+    def _is_too_far(self, sender: LeaseSender, sequence: int, now: timedelta) -> bool:
+        # No process starts that many rounds in the time since its latest probe. If
+        # this number were accepted, the real probes would be taken for delayed ones.
+        latest = self._sequences.get(sender)
+        if latest is None:
+            return False
+        latest_sequence, seen_at = latest
+        rounds = (now - seen_at) / MIN_ROUND_GAP
+        return sequence - latest_sequence > EXTRA_PROBES + rounds
+
+    def _prune(self, now: timedelta) -> None:
+        if now < self._pruned_at + LEASE:
+            return
+        self._pruned_at = now
+        self._grants = {
+            key: grant for key, grant in self._grants.items() if now < grant.until
+        }
+        self._sequences = {
+            sender: (sequence, seen_at)
+            for sender, (sequence, seen_at) in self._sequences.items()
+            if now < seen_at + SEQUENCE_TIME
+        }
+
+
+def _refuse_all(wanted: tuple[str, ...]) -> tuple[LeaseRefusal, ...]:
+    return tuple(LeaseRefusal(key, "") for key in wanted)
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/limits.py
@@ -0,0 +1,283 @@
+"""Concurrency limit, admission and queue bound of one upstream."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import StrEnum
+
+from celeryferry_core.durations import NO_TIME, to_milliseconds
+from celeryferry_core.growth import GrowthCounter
+from celeryferry_core.latencies import LatencyTracker
+from celeryferry_core.mechanisms import Mechanisms
+from celeryferry_core.models.outcomes import NotRun, NotRunReason, UpstreamState
+from celeryferry_core.models.topology import UpstreamLimits
+from celeryferry_core.statuses import UpstreamStatus
+
+QUEUE_PER_SLOT = 8
+
+
+class LimitCause(StrEnum):
+    """Why a limit changed."""
+
+    COLD = "cold"
+    DRAINING = "draining"
+    SHEDDING = "shedding"
+    UNREACHABLE = "unreachable"
+    RESTARTED = "restarted"
+    LATENCY_STEP = "latency_step"
+    SUCCESSES = "successes"
+    DRAIN_ENDED = "drain_ended"
+    CONFIGURATION = "configuration"
+    NEW_OWNER = "new_owner"
+
+
+_OVERLOAD_CAUSES = frozenset(
+    {
+        LimitCause.COLD,
+        LimitCause.SHEDDING,
+        LimitCause.UNREACHABLE,
+        LimitCause.RESTARTED,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class LimitChange:
+    """A change of the limit, or of the state with the limit already at its lowest.
+
+    :param before: limit before the change.
+    :param after: limit after the change.
+    :param cause: what caused it.
+    """
+
+    before: int
+    after: int
+    cause: LimitCause
+
+
+class UpstreamLimit:
+    """Concurrency limit of one upstream, driven by its answers.
+
+    :param limits: limits from the service document.
+    :param mechanisms: switches for tests.
+    :ivar limit: present concurrency limit.
+    :ivar status: state and pauses of the upstream.
+    :ivar epoch: number of negative signals so far; work remembers it from its start.
+    """
+
+    __slots__ = (
+        "_growth",
+        "_latencies",
+        "_limits",
+        "_mechanisms",
+        "epoch",
+        "limit",
+        "status",
+    )
+
+    def __init__(self, limits: UpstreamLimits, mechanisms: Mechanisms) -> None:
+        self._limits = limits
+        self._mechanisms = mechanisms
+        self._latencies = LatencyTracker()
+        self._growth = GrowthCounter()
+        self.epoch = 0
+        self.status = UpstreamStatus()
+        self.limit = self._floor
+
+    @property
+    def latency(self) -> timedelta:
+        """Smoothed latency, zero before the first answer."""
+        return self._latencies.latency
+
+    @property
+    def queue_bound(self) -> int:
+        """Largest number of queued requests."""
+        return QUEUE_PER_SLOT * self._limits.slots
+
+    @property
+    def _floor(self) -> int:
+        if not self._mechanisms.cold_limit:
+            return self._limits.slots
+        return min(self._limits.cold_limit, self._limits.slots)
+
+    def replace_limits(self, limits: UpstreamLimits) -> LimitChange | None:
+        """Take over limits from a new service document.
+
+        :param limits: the new limits.
+        :returns: the change of the present limit, if any.
+        """
+        self._limits = limits
+        return self._set_limit(min(self.limit, limits.slots), LimitCause.CONFIGURATION)
+
+    def restart(self) -> LimitChange | None:
+        """Start over at the cold limit, as a new owner does.
+
+        :returns: the change of the present limit, if any.
+        """
+        self.status.note_cold()
+        return self._drop(LimitCause.NEW_OWNER)
+
+    def may_start(self, now: timedelta, in_flight: int) -> bool:
+        """Tell whether one more request may be sent.
+
+        :param now: present monotonic time.
+        :param in_flight: requests sent and not finished.
+        :returns: True if the limit, the pause and a running trial allow it.
+        """
+        if in_flight >= self.limit or now < self.status.resume_at:
+            return False
+        return in_flight == 0 or not self.status.is_unreachable
+
+    def estimate(self, now: timedelta, in_flight: int, ahead: int) -> timedelta:
+        """Estimate the time until a request would be answered.
+
+        :param now: present monotonic time.
+        :param in_flight: requests sent and not finished.
+        :param ahead: requests queued before this one.
+        :returns: pause, time in the queue and one latency.
+        """
+        waiting = max(0, in_flight + ahead + 1 - self.limit)
+        pause = max(NO_TIME, self.status.resume_at - now)
+        return pause + self.latency * (1 + waiting / self.limit)
+
+    def refuse(
+        self, now: timedelta, in_flight: int, ahead: int, time_left: timedelta
+    ) -> NotRun | None:
+        """Decide whether a request is refused instead of queued.
+
+        A request that finds the upstream idle is not measured against the latency
+        estimate: without answers the estimate would never recover.
+
+        :param now: present monotonic time.
+        :param in_flight: requests sent and not finished.
+        :param ahead: requests queued before this one.
+        :param time_left: time until the request's deadline.
+        :returns: the refusal, or None if the request may wait.
+        """
+        if time_left <= NO_TIME:
+            return NotRun(NotRunReason.DEADLINE)
+        status = self.status
+        if status.is_draining and self._mechanisms.drain_check:
+            return NotRun(NotRunReason.DRAINING)
+        is_pausing = now < status.resume_at
+        is_idle = in_flight + ahead == 0 and not is_pausing
+        if status.is_unreachable and not is_idle:
+            retry_after_ms = to_milliseconds(status.resume_at - now)
+            return NotRun(NotRunReason.UNREACHABLE, retry_after_ms=retry_after_ms)
+        if is_idle:
+            return None
+        is_late = self.estimate(now, in_flight, ahead) > time_left
+        is_full = ahead >= self.queue_bound
+        switches = self._mechanisms
+        if (is_late and switches.early_refusal) or (is_full and switches.queue_bound):
+            return self._refuse_overload(now, in_flight, ahead)
+        return None
+
+    def record_success(self, epoch: int, latency: timedelta) -> LimitChange | None:
+        """Take over an answer that carried no negative signal.
+
+        Work that was sent before the latest negative signal says nothing about the
+        recovery from it.
+
+        :param epoch: value of ``epoch`` when the work was sent.
+        :param latency: time from sending to the answer.
+        :returns: the change of the limit, if any.
+        """
+        if self._latencies.record(latency):
+            return self._drop(LimitCause.LATENCY_STEP)
+        if epoch != self.epoch or self.status.is_draining:
+            return None
+        self.status.note_ready()
+        if not self._growth.record_success(self.limit, self._limits.slots):
+            return None
+        return self._set_limit(self.limit + 1, LimitCause.SUCCESSES)
+
+    def record_unfinished(self, elapsed: timedelta) -> LimitChange | None:
+        """Take over the time of work that was given up without an answer.
+
+        :param elapsed: time since it was sent; ignored if shorter than the smoothed
+            latency, because it is only a lower bound.
+        :returns: the change of the limit, if any.
+        """
+        if elapsed <= self.latency or not self._latencies.record(elapsed):
+            return None
+        return self._drop(LimitCause.LATENCY_STEP)
+
+    def record_negative(self, cause: LimitCause, now: timedelta) -> LimitChange | None:
+        """Take over a negative signal from any source.
+
+        :param cause: the signal.
+        :param now: present monotonic time.
+        :returns: the change of the limit or the state, if any.
+        """
+        before = self.status.state
+        if cause is LimitCause.DRAINING and not self._mechanisms.drain_check:
+            return None
+        match cause:
+            case LimitCause.DRAINING:
+                self.status.note_drain(now)
+            case LimitCause.UNREACHABLE:
+                self.status.note_unreachable(now)
+            case _:
+                self.status.note_cold()
+        return self._drop(cause, before)
+
+    def record_refusal(self, cause: LimitCause, now: timedelta) -> LimitChange | None:
+        """Take over a refusal by the upstream and pause before the next send.
+
+        :param cause: cold, draining or shedding.
+        :param now: present monotonic time.
+        :returns: the change of the limit or the state, if any.
+        """
+        self.status.note_refusal(now)
+        return self.record_negative(cause, now)
+
+    def record_health(
+        self, state: UpstreamState, asked_at: timedelta, now: timedelta
+    ) -> LimitChange | None:
+        """Take over the answer to a health poll.
+
+        It only lowers the state, with one exception: a draining upstream gets no work
+        whose answer could show its return, so several consecutive polls end a drain.
+        The upstream then starts at the cold limit.
+
+        :param state: state in the health answer, unreachable if the connection was
+            refused.
+        :param asked_at: monotonic time at which the poll was sent.
+        :param now: present monotonic time.
+        :returns: the change of the limit or the state, if any.
+        """
+        before = self.status.state
+        match state:
+            case UpstreamState.DRAINING:
+                return self.record_negative(LimitCause.DRAINING, now)
+            case UpstreamState.UNREACHABLE:
+                self.status.note_health_unreachable(now)
+                return self._drop(LimitCause.UNREACHABLE, before)
+        if self.status.is_draining:
+            if self.status.end_drain(asked_at):
+                return self._drop(LimitCause.DRAIN_ENDED, before)
+            return None
+        if state is UpstreamState.COLD and not self.status.is_unreachable:
+            return self.record_negative(LimitCause.COLD, now)
+        return None
+
+    def _refuse_overload(self, now: timedelta, in_flight: int, ahead: int) -> NotRun:
+        is_cold = self.status.state is UpstreamState.COLD
+        reason = NotRunReason.COLD if is_cold else NotRunReason.OVERLOADED
+        wait = self.estimate(now, in_flight, ahead) - self.latency
+        return NotRun(reason, retry_after_ms=max(1, to_milliseconds(wait)))
+
+    def _drop(
+        self, cause: LimitCause, before: UpstreamState | None = None
+    ) -> LimitChange | None:
+        self.epoch += 1
+        self._growth.record_drop(cause in _OVERLOAD_CAUSES)
+        change = self._set_limit(min(self.limit, self._floor), cause)
+        if change is None and before not in (None, self.status.state):
+            return LimitChange(self.limit, self.limit, cause)
+        return change
+
+    def _set_limit(self, limit: int, cause: LimitCause) -> LimitChange | None:
+        before = self.limit
+        self.limit = limit
+        return LimitChange(before, limit, cause) if limit != before else None
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/membership.py
@@ -0,0 +1,292 @@
+"""What a host knows of the other hosts from the list, its probes and gossip."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from datetime import timedelta
+
+import msgspec
+
+from celeryferry_core.durations import to_milliseconds
+from celeryferry_core.freshness import FRESH_TIME
+from celeryferry_core.models.messages import CellSummary
+from celeryferry_core.models.topology import Host, HostState
+from celeryferry_core.models.views import Membership
+from celeryferry_core.placement import cell_of_host
+
+# Three probe intervals: one lost probe does not move ownership.
+LIVE_TIME = timedelta(milliseconds=1500)
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    sent_at: timedelta
+    leaving: bool
+    serving: bool
+    covered: bool
+
+
+@dataclass(frozen=True, slots=True)
+class _Summary:
+    as_of: timedelta
+    summary: CellSummary
+
+
+class MembershipTable:
+    """Hosts of the list with their liveness.
+
+    :param host: this host.
+    """
+
+    __slots__ = (
+        "_answers",
+        "_cells",
+        "_hosts",
+        "_leaving_upstreams",
+        "_own_cell",
+        "_self",
+        "_summaries",
+        "leaving",
+        "serving",
+    )
+
+    def __init__(self, host: Host) -> None:
+        self._self = host
+        self._hosts: dict[str, Host] = {}
+        self._own_cell = cell_of_host(host, 1)
+        self._cells: dict[str, frozenset[str]] = {}
+        self._leaving_upstreams: frozenset[str] = frozenset()
+        self._answers: dict[str, _Answer] = {}
+        self._summaries: dict[str, _Summary] = {}
+        self.leaving = False
+        self.serving = False
+
+    @property
+    def hosts(self) -> Mapping[str, Host]:
+        """Listed hosts by host id."""
+        return self._hosts
+
+    @property
+    def own_cell(self) -> str:
+        """Name of this host's cell."""
+        return self._own_cell
+
+    @property
+    def is_listed(self) -> bool:
+        """Whether this host is in the list."""
+        return self._self.host_id in self._hosts
+
+    def count_domain(self, failure_domain: str) -> int:
+        """Count the listed hosts of a failure domain.
+
+        :param failure_domain: name of the failure domain.
+        :returns: number of hosts.
+        """
+        hosts = self._hosts.values()
+        return sum(host.failure_domain == failure_domain for host in hosts)
+
+    def members(self, cell: str) -> frozenset[str]:
+        """Return the listed hosts of a cell.
+
+        :param cell: name of the cell.
+        :returns: host ids.
+        """
+        return self._cells.get(cell, frozenset())
+
+    def replace_list(
+        self, hosts: Mapping[str, Host], leaving_upstreams: frozenset[str]
+    ) -> None:
+        """Take over a newly read host list.
+
+        :param hosts: listed hosts by host id.
+        :param leaving_upstreams: addresses of leaving upstreams.
+        """
+        self._hosts = dict(hosts)
+        self._leaving_upstreams = leaving_upstreams
+        sizes: dict[str, int] = {}
+        for host in hosts.values():
+            sizes[host.failure_domain] = sizes.get(host.failure_domain, 0) + 1
+        cells: dict[str, set[str]] = {}
+        for host in hosts.values():
+            cell = cell_of_host(host, sizes[host.failure_domain])
+            cells.setdefault(cell, set()).add(host.host_id)
+        self._cells = {cell: frozenset(members) for cell, members in cells.items()}
+        own_size = max(1, sizes.get(self._self.failure_domain, 0))
+        self._own_cell = cell_of_host(self._self, own_size)
+        self._answers = {k: v for k, v in self._answers.items() if k in hosts}
+        self._summaries = {k: v for k, v in self._summaries.items() if k in cells}
+
+    def record_answer(
+        self,
+        host_id: str,
+        sent_at: timedelta,
+        leaving: bool,
+        serving: bool,
+        covered: bool,
+    ) -> bool:
+        """Record that a host answered a probe.
+
+        :param host_id: host that answered.
+        :param sent_at: time just before the probe was sent.
+        :param leaving: whether it announced a planned stop.
+        :param serving: whether it has a configuration.
+        :param covered: whether all its documents were taken over here; if not, it
+            does not count as reached, because it knows of a change that is missing.
+        :returns: True if the view of the hosts may have changed.
+        """
+        latest = self._answers.get(host_id)
+        if latest is not None and sent_at < latest.sent_at:
+            return False
+        self._answers[host_id] = _Answer(sent_at, leaving, serving, covered)
+        if latest is None or sent_at - latest.sent_at >= LIVE_TIME:
+            return True
+        return (latest.leaving, latest.serving) != (leaving, serving)
+
+    def record_leaving(self, host_id: str) -> bool:
+        """Record that a host announced its planned stop in its own probe.
+
+        :param host_id: host that leaves.
+        :returns: True if this is new.
+        """
+        latest = self._answers.get(host_id)
+        if latest is None or latest.leaving:
+            return False
+        self._answers[host_id] = replace(latest, leaving=True)
+        return True
+
+    def record_summary(self, summary: CellSummary, sent_at: timedelta) -> bool:
+        """Take over a gossiped summary of another cell if it is younger.
+
+        :param summary: the summary.
+        :param sent_at: time just before the probe that brought it was sent.
+        :returns: True if the view of the hosts may have changed.
+        """
+        if summary.cell == self.own_cell or summary.cell not in self._cells:
+            return False
+        as_of = sent_at - timedelta(milliseconds=max(0, summary.age_ms))
+        known = self._summaries.get(summary.cell)
+        if known is not None and as_of <= known.as_of:
+            return False
+        self._summaries[summary.cell] = _Summary(as_of, summary)
+        if known is None:
+            return True
+        old = known.summary
+        return (old.live_count, old.leaving, old.unavailable) != (
+            summary.live_count,
+            summary.leaving,
+            summary.unavailable,
+        )
+
+    def forget_observations(self) -> None:
+        """Drop what was observed before a pause of the process."""
+        self._answers.clear()
+        self._summaries.clear()
+
+    def build(self, now: timedelta) -> Membership:
+        """Build the view for the other tasks.
+
+        :param now: present monotonic time.
+        :returns: the view.
+        """
+        down: set[str] = set()
+        leaving = {
+            host_id
+            for host_id, host in self._hosts.items()
+            if host.state is HostState.LEAVING
+        }
+        for summary in self._fresh_summaries(now):
+            members = self._cells[summary.cell]
+            leaving.update(members.intersection(summary.leaving))
+            if 2 * summary.live_count > len(members):
+                # Only the majority of a cell may call its other hosts unavailable.
+                down.update(summary.unavailable)
+        own_down, own_leaving = self._split_own_cell(now)
+        return Membership(
+            hosts=self._hosts,
+            live=frozenset(self._hosts.keys() - down - own_down),
+            leaving=frozenset(leaving | own_leaving),
+            leaving_upstreams=self._leaving_upstreams,
+            unheard=self._list_unheard(now),
+        )
+
+    def count_answering(self, now: timedelta) -> int:
+        """Count the hosts of the own cell that answered lately, this one included.
+
+        :param now: present monotonic time.
+        :returns: number of hosts.
+        """
+        return len(self.members(self.own_cell)) - len(self._silent(now))
+
+    def list_summaries(self, now: timedelta) -> tuple[CellSummary, ...]:
+        """Return the summaries to send with probes.
+
+        :param now: present monotonic time.
+        :returns: own cell first, then the other cells known well enough.
+        """
+        cell = self.own_cell
+        down, leaving = self._split_own_cell(now)
+        own = CellSummary(
+            cell=cell,
+            live_count=self.count_answering(now),
+            age_ms=0,
+            leaving=tuple(sorted(leaving)),
+            unavailable=tuple(sorted(down)),
+        )
+        return (own, *self._fresh_summaries(now))
+
+    def list_reached(self) -> list[tuple[timedelta, int]]:
+        """Return which hosts were reached when, for the majority of all hosts.
+
+        :returns: time and number of hosts.
+        """
+        members = self.members(self.own_cell)
+        reached = [
+            (answer.sent_at, 1)
+            for host_id, answer in self._answers.items()
+            if host_id in members and answer.covered
+        ]
+        for cell, entry in self._summaries.items():
+            count = min(entry.summary.live_count, len(self._cells[cell]))
+            reached.append((entry.as_of, count))
+        return reached
+
+    def _silent(self, now: timedelta) -> set[str]:
+        return {
+            host_id
+            for host_id in self.members(self.own_cell)
+            if host_id != self._self.host_id and not self._answered(host_id, now)
+        }
+
+    def _answered(self, host_id: str, now: timedelta) -> bool:
+        answer = self._answers.get(host_id)
+        return answer is not None and now - answer.sent_at < LIVE_TIME
+
+    def _split_own_cell(self, now: timedelta) -> tuple[set[str], set[str]]:
+        down = self._silent(now)
+        leaving = set()
+        for host_id in self.members(self.own_cell) - down:
+            if host_id == self._self.host_id:
+                answer = _Answer(now, self.leaving, self.serving, True)
+            else:
+                answer = self._answers[host_id]
+            if answer.leaving:
+                leaving.add(host_id)
+            if not answer.serving:
+                down.add(host_id)
+        return down, leaving
+
+    def _list_unheard(self, now: timedelta) -> frozenset[str]:
+        cells = [
+            cell
+            for cell, entry in self._summaries.items()
+            if now - entry.as_of >= FRESH_TIME
+        ]
+        return frozenset().union(*(self._cells[cell] for cell in cells))
+
+    def _fresh_summaries(self, now: timedelta) -> list[CellSummary]:
+        fresh = []
+        for _, entry in sorted(self._summaries.items()):
+            age = now - entry.as_of
+            if age < FRESH_TIME:
+                age_ms = to_milliseconds(age)
+                fresh.append(msgspec.structs.replace(entry.summary, age_ms=age_ms))
+        return fresh
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/models/__init__.py
@@ -0,0 +1,1 @@
+"""Data classes shared by the parts of the query tier."""
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/models/bounds.py
@@ -0,0 +1,28 @@
+"""Bounds of the fields of messages between daemons.
+
+A daemon is checked as strictly as a caller: a faulty one must not be able to fill the
+memory of the others, or to poison their leases, membership or freshness.
+"""
+
+from typing import Annotated
+
+from msgspec import Meta
+
+MAX_AGE_MS = 10**11
+MAX_COUNT = 10**6
+MAX_SEQUENCE = 2**53
+MAX_FLUSH_MS = 60_000
+MAX_ITEMS = 4096
+
+HostId = Annotated[str, Meta(max_length=128)]
+Incarnation = Annotated[str, Meta(max_length=64)]
+Digest = Annotated[str, Meta(max_length=128)]
+Name = Annotated[str, Meta(max_length=512)]
+TicketText = Annotated[str, Meta(max_length=256)]
+QueryId = Annotated[str, Meta(max_length=256)]
+AgeMs = Annotated[int, Meta(ge=0, le=MAX_AGE_MS)]
+Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
+Sequence = Annotated[int, Meta(ge=0, le=MAX_SEQUENCE)]
+FlushMs = Annotated[int, Meta(ge=0, le=MAX_FLUSH_MS)]
+Names = Annotated[tuple[Name, ...], Meta(max_length=MAX_ITEMS)]
+HostIds = Annotated[tuple[HostId, ...], Meta(max_length=MAX_ITEMS)]
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/plans.py
@@ -0,0 +1,148 @@
+"""Shards and routes of an application, derived from its documents."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from celeryferry_core.mechanisms import Mechanisms
+from celeryferry_core.models.outcomes import CoverageReason
+from celeryferry_core.models.topology import (
+    Preference,
+    ServiceDocument,
+    Shard,
+    ShardId,
+)
+from celeryferry_core.placement import group_of, key_of
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """A replica that may be asked.
+
+    :param address: address of the upstream.
+    :param failure_domain: its failure domain.
+    :param key: ownership key that covers it.
+    """
+
+    address: str
+    failure_domain: str
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedShard:
+    """A shard with everything that does not depend on a single query.
+
+    :param shard_id: name of the shard.
+    :param shard: the shard in the document.
+    :param document: document of its service.
+    :param routes: replicas that configuration and host list allow.
+    :param addresses: addresses of the routes.
+    :param excluded_reason: why there are no routes.
+    :param wait: longest time that a query waits for the shard.
+    """
+
+    shard_id: ShardId
+    shard: Shard
+    document: ServiceDocument
+    routes: tuple[Route, ...]
+    addresses: tuple[str, ...]
+    excluded_reason: CoverageReason
+    wait: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class ApplicationPlan:
+    """Shards and routes of an application, the same until configuration changes.
+
+    :param application: name of the application.
+    :param shards: shards of its repeatable services.
+    :param keys: ownership keys of all routes.
+    :param deadline_ms: shortest deadline of its documents in milliseconds.
+    :param floor_ms: lower bound of the hedge delay in milliseconds, the highest of its
+        documents.
+    :param snapshot_map: shards with addresses, as ``choose_snapshot`` takes them.
+    :param addresses: addresses of all routes.
+    :param addresses_of: addresses of all routes, by ownership key.
+    """
+
+    application: str
+    shards: tuple[PlannedShard, ...]
+    keys: tuple[str, ...]
+    deadline_ms: int
+    floor_ms: float
+    snapshot_map: tuple[tuple[Shard, tuple[str, ...]], ...] = field(repr=False)
+    addresses: frozenset[str] = field(repr=False)
+    addresses_of: Mapping[str, frozenset[str]] = field(repr=False)
+
+
+def build_plan(
+    application: str,
+    services: tuple[ServiceDocument, ...],
+    leaving_upstreams: frozenset[str],
+    mechanisms: Mechanisms,
+) -> ApplicationPlan:
+    """Derive the routes of an application from its documents.
+
+    :param application: name of the application.
+    :param services: all of its documents, at least one.
+    :param leaving_upstreams: addresses that get no new work.
+    :param mechanisms: active mechanisms.
+    :returns: the plan; without shards if no service is repeatable.
+    """
+    if not mechanisms.drain_check:
+        leaving_upstreams = frozenset()
+    shards = tuple(
+        _plan_shard(document, shard, leaving_upstreams, mechanisms)
+        for document in services
+        if document.repeatable
+        for shard in document.shards
+    )
+    addresses_of: dict[str, set[str]] = {}
+    for shard in shards:
+        for route in shard.routes:
+            addresses_of.setdefault(route.key, set()).add(route.address)
+    return ApplicationPlan(
+        application=application,
+        shards=shards,
+        keys=tuple(sorted(addresses_of)),
+        deadline_ms=min(document.deadline_ms for document in services),
+        floor_ms=max(document.hedging.floor_ms for document in services),
+        snapshot_map=tuple((shard.shard, shard.addresses) for shard in shards),
+        addresses=frozenset().union(*addresses_of.values()),
+        addresses_of={key: frozenset(part) for key, part in addresses_of.items()},
+    )
+
+
+def _plan_shard(
+    document: ServiceDocument,
+    shard: Shard,
+    leaving_upstreams: frozenset[str],
+    mechanisms: Mechanisms,
+) -> PlannedShard:
+    shard_id = ShardId(document.service, shard.name)
+    group = group_of(document.service, shard)
+    out = document.failure_domains_out if mechanisms.domain_out else ()
+    in_service = [part for part in shard.replicas if part.failure_domain not in out]
+    routes = tuple(
+        Route(
+            part.address,
+            part.failure_domain,
+            key_of(document.application, group, part.failure_domain),
+        )
+        for part in in_service
+        if part.address not in leaving_upstreams
+    )
+    reason = CoverageReason.NO_REPLICA
+    if shard.replicas and not in_service:
+        reason = CoverageReason.FAILURE_DOMAIN_OUT
+    addresses = tuple(route.address for route in routes)
+    wait = _wait_for(document)
+    return PlannedShard(shard_id, shard, document, routes, addresses, reason, wait)
+
+
+def _wait_for(document: ServiceDocument) -> timedelta:
+    wait_ms = document.deadline_ms
+    if document.preference is Preference.TIME:
+        wait_ms = min(wait_ms, document.answer_within_ms)
+    return timedelta(milliseconds=wait_ms)
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/routing.py
@@ -0,0 +1,299 @@
+"""Selection of a replica and its owner for each shard."""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from datetime import timedelta
+
+from celeryferry_core.models.outcomes import CoverageReason
+from celeryferry_core.models.topology import Host
+from celeryferry_core.owners import OwnerDirectory
+from celeryferry_core.plans import ApplicationPlan, PlannedShard, Route
+from celeryferry_core.ports import RandomSource
+from celeryferry_core.snapshots import PinChoice, UpstreamCatalog, choose_snapshot
+from celeryferry_core.suspects import Suspects
+
+# A key whose owner was lost is a last choice until its lease has moved.
+UNSETTLED_KEY_TIME = timedelta(seconds=1)
+# Keys without an owner are listed again after this time, not for every query.
+LOST_KEYS_TIME = timedelta(milliseconds=50)
+# Another failure domain must promise less than this part of the local time.
+REMOTE_GAIN = 2.0
+CROSS_DOMAIN_COST_MS = 3.0
+# An avoided replica gets one subquery in so many, or its latency never improves.
+EXPLORE_ONE_IN = 128
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """A chosen replica.
+
+    :param route: the replica.
+    :param owner: host that owns it.
+    :param reason: why it was chosen, for the log.
+    """
+
+    route: Route
+    owner: Host
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class _LostKeys:
+    plan: ApplicationPlan
+    listed_at: timedelta
+    ownerless: frozenset[str]
+    unsettled: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class _Pin:
+    plan: ApplicationPlan
+    basis: tuple[int, frozenset[str], frozenset[str]]
+    choice: PinChoice | None
+
+
+class Router:
+    """Chooses replicas and owners from what this host knows.
+
+    :param own_domain: failure domain of this host.
+    :param random: source of random numbers.
+    """
+
+    __slots__ = (
+        "_holding",
+        "_holding_generation",
+        "_lost_keys",
+        "_pins",
+        "_unsettled",
+        "catalog",
+        "directory",
+        "own_domain",
+        "random",
+        "suspects",
+    )
+
+    def __init__(self, own_domain: str, random: RandomSource) -> None:
+        self.own_domain = own_domain
+        self.random = random
+        self.catalog = UpstreamCatalog()
+        self.directory = OwnerDirectory()
+        self.suspects = Suspects()
+        self._unsettled: dict[str, timedelta] = {}
+        self._holding: dict[tuple[int, int], tuple[PlannedShard, list[Route]]] = {}
+        self._holding_generation = -1
+        self._pins: dict[str, _Pin] = {}
+        self._lost_keys: dict[str, _LostKeys] = {}
+
+    def pin(self, plan: ApplicationPlan, now: timedelta) -> PinChoice | None:
+        """Return the index version for a new query.
+
+        :param plan: plan of the application.
+        :param now: present monotonic time.
+        :returns: the choice, kept until plan, catalog or lost owners change.
+        """
+        lost = self._list_lost_keys(plan, now)
+        basis = (self.catalog.generation, lost.ownerless, lost.unsettled)
+        pin = self._pins.get(plan.application)
+        if pin is not None and pin.plan is plan and pin.basis == basis:
+            return pin.choice
+        choice = self.choose_newer(plan, now, None)
+        self._pins[plan.application] = _Pin(plan, basis, choice)
+        return choice
+
+    def choose_newer(
+        self, plan: ApplicationPlan, now: timedelta, newer_than: int | None
+    ) -> PinChoice | None:
+        """Choose an index version from replicas that have an owner.
+
+        :param plan: plan of the application.
+        :param now: present monotonic time.
+        :param newer_than: only versions above it are considered; None for all.
+        :returns: the choice, or None if no version is known.
+        """
+        lost = self._list_lost_keys(plan, now)
+        choice = self._choose_without(plan, lost.ownerless | lost.unsettled, newer_than)
+        if not lost.unsettled or (choice is not None and choice.is_full):
+            return choice
+        return self._choose_without(plan, lost.ownerless, newer_than)
+
+    def _choose_without(
+        self, plan: ApplicationPlan, keys: frozenset[str], newer_than: int | None
+    ) -> PinChoice | None:
+        shards = plan.snapshot_map
+        if keys:
+            shards = tuple(
+                (part.shard, tuple(r.address for r in part.routes if r.key not in keys))
+                for part in plan.shards
+            )
+        return choose_snapshot(shards, self.catalog, newer_than)
+
+    def _list_lost_keys(self, plan: ApplicationPlan, now: timedelta) -> _LostKeys:
+        lost = self._lost_keys.get(plan.application)
+        is_known = lost is not None and lost.plan is plan
+        if is_known and now - lost.listed_at < LOST_KEYS_TIME:
+            return lost
+        keys = (k for k in plan.keys if self.directory.find_owner(k, now) is None)
+        ownerless = frozenset(keys)
+        unsettled = frozenset(k for k in plan.keys if not self.is_settled(k, now))
+        lost = _LostKeys(plan, now, ownerless, unsettled)
+        self._lost_keys[plan.application] = lost
+        return lost
+
+    def mark_unsettled(self, key: str, now: timedelta) -> None:
+        """Make the replicas of a key a last choice for ``UNSETTLED_KEY_TIME``.
+
+        :param key: ownership key without a known owner.
+        :param now: present monotonic time.
+        """
+        self._unsettled[key] = now + UNSETTLED_KEY_TIME
+
+    def is_settled(self, key: str, now: timedelta) -> bool:
+        """Tell whether no owner of a key was lost lately.
+
+        :param key: ownership key.
+        :param now: present monotonic time.
+        """
+        until = self._unsettled.get(key)
+        if until is None:
+            return True
+        if now < until:
+            return False
+        del self._unsettled[key]
+        return True
+
+    def choose(
+        self,
+        shard: PlannedShard,
+        version: int,
+        now: timedelta,
+        tried: Collection[str] = (),
+        avoided_hosts: Collection[str] = (),
+        avoided_domain: str | None = None,
+        owners: dict[str, Host | None] | None = None,
+    ) -> Choice | CoverageReason:
+        """Choose the replica of a shard.
+
+        :param shard: the shard.
+        :param version: index version that the replica must hold, below 0 for none;
+            replicas whose versions are not known yet are a last choice.
+        :param now: present monotonic time.
+        :param tried: addresses that are left out.
+        :param avoided_hosts: owners that are left out.
+        :param avoided_domain: failure domain that is a last choice.
+        :param owners: owners by key, filled and shared by the choices of one pass.
+        :returns: the choice, or why there is none.
+        """
+        if not shard.routes:
+            return shard.excluded_reason
+        holding = self._list_holding(shard, version)
+        if tried:
+            holding = [route for route in holding if route.address not in tried]
+        owned = self._list_owned(holding, now, avoided_hosts, owners)
+        if not owned:
+            # A replica that turns out to lack the version refuses and runs nothing.
+            unknown = self._list_unknown(shard, version, tried)
+            if not holding and not unknown:
+                return self._explain_none(shard)
+            owned = self._list_owned(unknown, now, avoided_hosts, owners)
+        if not owned:
+            return CoverageReason.NO_OWNER
+        if self._unsettled and len(owned) > 1:
+            settled = [pair for pair in owned if self.is_settled(pair[0].key, now)]
+            owned = settled or owned
+        owned = self.suspects.leave_out(owned, now)
+        if avoided_domain is not None and len(owned) > 1:
+            other = [p for p in owned if p[0].failure_domain != avoided_domain]
+            owned = other or owned
+        return self._select(owned)
+
+    def _list_holding(self, shard: PlannedShard, version: int) -> list[Route]:
+        catalog = self.catalog
+        if self._holding_generation != catalog.generation:
+            self._holding.clear()
+            self._holding_generation = catalog.generation
+        # The entry keeps the shard alive, so that its id is not reused.
+        entry = self._holding.get((id(shard), version))
+        if entry is None:
+            routes = [r for r in shard.routes if catalog.holds(r.address, version)]
+            entry = (shard, routes)
+            self._holding[(id(shard), version)] = entry
+        return entry[1]
+
+    def _list_unknown(
+        self, shard: PlannedShard, version: int, tried: Collection[str]
+    ) -> list[Route]:
+        if version < 0:
+            return []
+        return [
+            route
+            for route in shard.routes
+            if self.catalog.is_unknown(route.address) and route.address not in tried
+        ]
+
+    def _list_owned(
+        self,
+        routes: list[Route],
+        now: timedelta,
+        avoided_hosts: Collection[str],
+        owners: dict[str, Host | None] | None,
+    ) -> list[tuple[Route, Host]]:
+        owned: list[tuple[Route, Host]] = []
+        for route in routes:
+            owner = self._find_owner(route.key, now, owners)
+            if owner is not None and owner.host_id not in avoided_hosts:
+                owned.append((route, owner))
+        return owned
+
+    def _find_owner(
+        self, key: str, now: timedelta, owners: dict[str, Host | None] | None
+    ) -> Host | None:
+        if owners is None:
+            return self.directory.find_owner(key, now)
+        if key not in owners:
+            owners[key] = self.directory.find_owner(key, now)
+        return owners[key]
+
+    def _explain_none(self, shard: PlannedShard) -> CoverageReason:
+        if any(self.catalog.is_usable(address) for address in shard.addresses):
+            return CoverageReason.NO_SNAPSHOT
+        return CoverageReason.NO_REPLICA
+
+    def _select(self, owned: list[tuple[Route, Host]]) -> Choice:
+        if len(owned) == 1:
+            return Choice(*owned[0], "only_candidate")
+        local = [pair for pair in owned if pair[0].failure_domain == self.own_domain]
+        remote = [pair for pair in owned if pair[0].failure_domain != self.own_domain]
+        if not local:
+            return Choice(*self._pick_of_two(remote), "power_of_two")
+        first = self._pick_of_two(local)
+        if not remote:
+            return Choice(*first, "own_domain")
+        second = self._pick_of_two(remote)
+        promised_ms = self.expect_ms(second[0]) + CROSS_DOMAIN_COST_MS
+        if self.expect_ms(first[0]) <= REMOTE_GAIN * promised_ms:
+            return Choice(*first, "own_domain")
+        if self.random.randrange(EXPLORE_ONE_IN) == 0:
+            return Choice(*first, "exploration")
+        return Choice(*second, "own_domain_slow")
+
+    def _pick_of_two(self, pairs: list[tuple[Route, Host]]) -> tuple[Route, Host]:
+        if len(pairs) == 1:
+            return pairs[0]
+        first = self.random.randrange(len(pairs))
+        second = self.random.randrange(len(pairs) - 1)
+        second += second >= first
+        if self.expect_ms(pairs[second][0]) < self.expect_ms(pairs[first][0]):
+            return pairs[second]
+        return pairs[first]
+
+    def expect_ms(self, route: Route) -> float:
+        """Estimate how long a new subquery takes on a replica.
+
+        :param route: the replica.
+        :returns: expected completion time in milliseconds, 0 if nothing is known.
+        """
+        seen = self.catalog.observation_of(route.address)
+        if seen is None:
+            return 0.0
+        load = (seen.queued + seen.in_flight) / max(1, seen.limit)
+        return seen.latency_ms * (1 + load)
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/search.py
@@ -0,0 +1,196 @@
+"""One query from start to answer, a state machine that does no I/O."""
+
+from datetime import timedelta
+
+from celeryferry_core.budgets import Budgets
+from celeryferry_core.coverage import EntryVerdict, decode_hits, judge_entry
+from celeryferry_core.decisions.front import EntryDropped, QueryAbandoned
+from celeryferry_core.mechanisms import Mechanisms
+from celeryferry_core.models.messages import PartialAnswer, PartialEntry
+from celeryferry_core.models.outcomes import (
+    Answered,
+    NotRun,
+    OutcomeUnknown,
+    UnknownReason,
+)
+from celeryferry_core.models.topology import ShardId
+from celeryferry_core.plans import ApplicationPlan
+from celeryferry_core.routing import Router
+from celeryferry_core.search_answers import finish_query
+from celeryferry_core.search_batches import send_queued
+from celeryferry_core.search_events import (
+    Action,
+    BatchFailed,
+    CallerGone,
+    Event,
+    ObservationsRefreshed,
+    PartialReceived,
+    PlanReplaced,
+    Record,
+    SessionRequest,
+    SetTimer,
+    TimerFired,
+)
+from celeryferry_core.search_failures import Failures
+from celeryferry_core.search_progress import BatchProgress
+from celeryferry_core.search_recovery import Recovery
+from celeryferry_core.search_replan import Replanner
+from celeryferry_core.search_state import SessionState
+
+_FAULTY_ANSWERS = (UnknownReason.BAD_ANSWER, UnknownReason.CONNECTION_LOST)
+
+
+class SearchSession:
+    """A query that takes events and the present time and returns actions.
+
+    :param request: the query.
+    :param plan: plan of its application.
+    :param router: knowledge about upstreams and owners, shared by all sessions.
+    :param budgets: budgets of the application, shared by its sessions.
+    :param mechanisms: active mechanisms.
+    """
+
+    __slots__ = ("_failures", "_recovery", "_replanner", "_state")
+
+    def __init__(
+        self,
+        request: SessionRequest,
+        plan: ApplicationPlan,
+        router: Router,
+        budgets: Budgets,
+        mechanisms: Mechanisms,
+    ) -> None:
+        state = SessionState(request, plan, router, budgets, mechanisms)
+        self._state = state
+        self._recovery = Recovery(state)
+        self._failures = Failures(state, self._recovery)
+        self._replanner = Replanner(state, self._recovery)
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether the session takes no further events."""
+        return self._state.is_finished
+
+    def start(self, now: timedelta) -> list[Action]:
+        """Pin an index version and send the first subqueries.
+
+        :param now: present monotonic time.
+        :returns: actions in order.
+        """
+        pin = self._state.router.pin(self._state.plan, now)
+        self._recovery.begin(pin, now)
+        return self._conclude(now)
+
+    def handle(self, event: Event, now: timedelta) -> list[Action]:
+        """Take an event.
+
+        :param event: the event.
+        :param now: present monotonic time.
+        :returns: actions in order; empty once the session is finished.
+        """
+        if self.is_finished:
+            return []
+        match event:
+            case PartialReceived(batch_id, answer):
+                self._take_line(batch_id, answer, now)
+            case BatchFailed(batch_id, failure):
+                self._failures.take_failure(batch_id, failure, now)
+            case TimerFired():
+                self._recovery.wake(now)
+            case ObservationsRefreshed():
+                self._replanner.awaits_refresh = False
+            case PlanReplaced(plan):
+                self._state.replace_plan(plan)
+            case CallerGone():
+                return self._abandon()
+        self._replanner.resolve(now)
+        return self._conclude(now)
+
+    def _conclude(self, now: timedelta) -> list[Action]:
+        state = self._state
+        pending = state.pending.values()
+        wait_until = max((part.wait_until for part in pending), default=now)
+        if now >= wait_until:
+            finish_query(state, now)
+            return state.take_actions()
+        send_queued(state, now)
+        times = [wait_until]
+        times += [part.retry_at for part in pending if part.retry_at is not None]
+        times += [part.rescue_at for part in pending if part.rescue_at is not None]
+        for batch in state.batches.values():
+            if batch.next_at is not None:
+                times.append(batch.next_at)
+        at = min(times)
+        if at != state.timer_at:
+            state.timer_at = at
+            state.actions.append(SetTimer(at))
+        return state.take_actions()
+
+    def _abandon(self) -> list[Action]:
+        state = self._state
+        decision = QueryAbandoned(self._state.request.query_id, len(state.pending))
+        state.actions.append(Record(decision))
+        state.cancel_all()
+        state.is_finished = True
+        return state.take_actions()
+
+    def _take_line(self, batch_id: int, answer: PartialAnswer, now: timedelta) -> None:
+        state = self._state
+        batch = state.batches.get(batch_id)
+        if batch is None:
+            return
+        matches = answer.query_id == state.request.query_id
+        if not matches and state.mechanisms.answer_match:
+            for entry in answer.entries:
+                verdict = EntryVerdict.OTHER_QUERY
+                state.decide(EntryDropped, entry, entry.upstream, batch.host, verdict)
+            return
+        is_first = not batch.has_line
+        batch.has_line = True
+        for observation in answer.observations:
+            if observation.address in state.plan.addresses:
+                state.router.catalog.record(observation)
+        is_flush = is_first and not answer.final
+        for entry in answer.entries:
+            self._take_entry(batch, entry, is_flush, now)
+        if answer.final:
+            lost = OutcomeUnknown(UnknownReason.BAD_ANSWER)
+            self._failures.fail_open(batch, lost, now)
+            state.batches.pop(batch_id, None)
+        elif batch_id in state.batches:
+            self._recovery.note_line(batch, is_first, now)
+
+    def _take_entry(
+        self,
+        batch: BatchProgress,
+        entry: PartialEntry,
+        is_flush: bool,
+        now: timedelta,
+    ) -> None:
+        state = self._state
+        attempt = batch.attempts.get(ShardId(entry.service, entry.shard))
+        verdict = judge_entry(
+            entry,
+            None if attempt is None else attempt.route.address,
+            attempt is not None and attempt.is_open,
+            state.version,
+            self._state.mechanisms,
+        )
+        if verdict is not EntryVerdict.MATCHES or attempt is None:
+            state.decide(EntryDropped, entry, entry.upstream, batch.host, verdict)
+            return
+        progress = state.shards[ShardId(entry.service, entry.shard)]
+        match entry.outcome:
+            case Answered(hits=hits):
+                decoded = decode_hits(hits)
+                if decoded.is_err():
+                    bad = OutcomeUnknown(UnknownReason.BAD_ANSWER)
+                    self._failures.fail(progress, attempt, bad, now)
+                    return
+                state.cover(progress, attempt, decoded.unwrap(), is_flush, now)
+            case NotRun() as refusal:
+                self._failures.take_refusal(batch, progress, attempt, refusal, now)
+            case OutcomeUnknown() as unknown:
+                if unknown.reason in _FAULTY_ANSWERS:
+                    state.router.suspects.mark(entry.upstream, now)
+                self._failures.fail(progress, attempt, unknown, now)
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/search_batches.py
@@ -0,0 +1,75 @@
+"""Batches of a search session: one to each owner."""
+
+from datetime import timedelta
+from math import ceil
+
+from celeryferry_core.models.messages import Subquery, SubqueryBatch
+from celeryferry_core.routing import Choice
+from celeryferry_core.search_events import SendBatch
+from celeryferry_core.search_progress import Attempt, BatchProgress, ShardProgress
+from celeryferry_core.search_recovery import FLUSH_GRACE
+from celeryferry_core.search_state import SessionState, to_ms
+
+# Part of the hedge delay after which the owner sends what has finished, so that the
+# front knows what is late when the delay is over.
+FLUSH_SHARE = 0.75
+# An owner whose line is late may be short of processor time and not the upstreams, so
+# its whole batch is hedged only after a grace, which grows with the load as the delay
+# does.
+FLUSH_GRACE_DELAYS = 0.25
+# An owner that has not sent the line due after the hedge delay is taken for lost.
+MIN_SILENCE = timedelta(milliseconds=100)
+SILENCE_DELAYS = 3
+
+
+def send_queued(state: SessionState, now: timedelta) -> None:
+    """Send what is queued, one batch to each owner.
+
+    :param state: state of the session.
+    :param now: present monotonic time.
+    """
+    by_owner: dict[str, list[tuple[ShardProgress, Choice, bool]]] = {}
+    for item in state.outbox:
+        by_owner.setdefault(item[1].owner.host_id, []).append(item)
+    state.outbox = []
+    for items in by_owner.values():
+        _send(state, items, now)
+
+
+def _send(
+    state: SessionState, items: list[tuple[ShardProgress, Choice, bool]], now: timedelta
+) -> None:
+    request = state.request
+    state.batch_count += 1
+    batch_id = state.batch_count
+    owner = items[0][1].owner
+    silence = max(MIN_SILENCE, SILENCE_DELAYS * state.delay)
+    grace = max(FLUSH_GRACE, FLUSH_GRACE_DELAYS * state.delay)
+    batch = BatchProgress(
+        batch_id,
+        owner,
+        late_at=now + state.delay,
+        hedge_at=now + state.delay + grace,
+        silent_at=now + silence,
+    )
+    subqueries = []
+    for progress, choice, is_hedge in items:
+        shard_id = progress.shard_id
+        attempt = Attempt(choice.route, batch_id, now)
+        progress.attempts.append(attempt)
+        batch.attempts[shard_id] = attempt
+        subqueries.append(
+            Subquery(shard_id.service, shard_id.shard, choice.route.address, is_hedge)
+        )
+    state.batches[batch_id] = batch
+    message = SubqueryBatch(
+        query_id=request.query_id,
+        application=state.plan.application,
+        snapshot=state.version,
+        deadline_unix_ms=request.deadline_unix_ms,
+        first_flush_ms=ceil(FLUSH_SHARE * to_ms(state.delay)),
+        query=request.query,
+        subqueries=tuple(subqueries),
+    )
+    timeout = max(timedelta(0), request.deadline - now)
+    state.actions.append(SendBatch(batch_id, owner, message, timeout))
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/search_progress.py
@@ -0,0 +1,166 @@
+"""Progress of the shards and batches of one search session."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from celeryferry_core.models.callers import Hit
+from celeryferry_core.models.outcomes import (
+    CoverageReason,
+    NotRun,
+    NotRunReason,
+    OutcomeUnknown,
+    UnknownReason,
+)
+from celeryferry_core.models.topology import Host, ShardId
+from celeryferry_core.plans import PlannedShard, Route
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One subquery.
+
+    :param route: replica that was asked.
+    :param batch_id: batch that carries it.
+    :param sent_at: monotonic time of the send.
+    :param is_open: whether its outcome is still awaited.
+    """
+
+    route: Route
+    batch_id: int
+    sent_at: timedelta
+    is_open: bool = True
+
+
+@dataclass(slots=True)
+class BatchProgress:
+    """One batch that is under way.
+
+    :param batch_id: number of the batch within the session.
+    :param host: owner it was sent to.
+    :param late_at: time at which pending shards are hedged if a line has arrived.
+    :param hedge_at: time at which its pending shards are hedged at the latest.
+    :param silent_at: time at which an owner that sent no line counts as lost.
+    :param attempts: subqueries by shard.
+    :param has_line: whether a line has arrived.
+    :param was_hedged: whether its pending shards were hedged.
+    :param was_denied: whether the budget did not allow to hedge all of them.
+    :param was_postponed: whether hedging was put off after a stall of this process.
+    :param was_silent: whether its owner was counted as lost.
+    """
+
+    batch_id: int
+    host: Host
+    late_at: timedelta
+    hedge_at: timedelta
+    silent_at: timedelta
+    attempts: dict[ShardId, Attempt] = field(default_factory=dict)
+    has_line: bool = False
+    was_hedged: bool = False
+    was_denied: bool = False
+    was_postponed: bool = False
+    was_silent: bool = False
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a subquery of the batch is still awaited."""
+        return any(attempt.is_open for attempt in self.attempts.values())
+
+    @property
+    def next_at(self) -> timedelta | None:
+        """Next time at which the batch needs attention, None if there is none."""
+        times = []
+        if not self.was_hedged:
+            times.append(self.hedge_at)
+        if not self.has_line and not self.was_silent:
+            times.append(self.silent_at)
+        return min(times, default=None)
+
+
+@dataclass(slots=True)
+class ShardProgress:
+    """One shard of the query.
+
+    :param planned: the shard.
+    :param wait_until: monotonic time up to which the query waits for it.
+    :param rescue_at: monotonic time at which a subquery without an answer is retried
+        elsewhere, None once that was considered.
+    :param attempts: subqueries so far.
+    :param tried: addresses that were asked in this round.
+    :param failed_hosts: owners that failed or refused as a whole.
+    :param hits: decoded hits once it is covered.
+    :param reason: why it is missing, as far as known.
+    :param cause: latest failure, for the log.
+    :param was_hedged: whether a hedge was considered.
+    :param was_redirected: whether a redirect was followed.
+    :param is_gone: whether it waits for a newer index version.
+    :param retry_at: time of the next round of attempts.
+    :param round: rounds of attempts that found no owner.
+    """
+
+    planned: PlannedShard
+    wait_until: timedelta
+    rescue_at: timedelta | None = None
+    attempts: list[Attempt] = field(default_factory=list)
+    tried: set[str] = field(default_factory=set)
+    failed_hosts: set[str] = field(default_factory=set)
+    hits: list[Hit] | None = None
+    reason: CoverageReason | None = None
+    cause: str = ""
+    was_hedged: bool = False
+    was_redirected: bool = False
+    is_gone: bool = False
+    retry_at: timedelta | None = None
+    round: int = 0
+
+    @property
+    def shard_id(self) -> ShardId:
+        """Name of the shard."""
+        return self.planned.shard_id
+
+    def open_attempts(self) -> list[Attempt]:
+        """Return the subqueries whose outcome is awaited."""
+        return [attempt for attempt in self.attempts if attempt.is_open]
+
+    @property
+    def missing_reason(self) -> CoverageReason:
+        """Why the shard is missing if the query ends now."""
+        if self.reason is None or any(attempt.is_open for attempt in self.attempts):
+            return CoverageReason.TIMEOUT
+        return self.reason
+
+
+_NO_OWNER_REASONS = frozenset(
+    {
+        NotRunReason.NOT_OWNER,
+        NotRunReason.NO_OWNER,
+        NotRunReason.LEAVING,
+        NotRunReason.STARTING,
+    }
+)
+HOST_REASONS = frozenset(
+    {
+        NotRunReason.STALE_CONFIGURATION,
+        NotRunReason.LEAVING,
+        NotRunReason.STARTING,
+    }
+)
+
+
+def reason_for(outcome: NotRun | OutcomeUnknown) -> CoverageReason:
+    """Return the coverage reason of a failed subquery.
+
+    :param outcome: outcome of the subquery.
+    """
+    match outcome:
+        case OutcomeUnknown(UnknownReason.TIMEOUT):
+            return CoverageReason.TIMEOUT
+        case OutcomeUnknown():
+            return CoverageReason.OUTCOME_UNKNOWN
+        case NotRun(NotRunReason.VERSION_GONE):
+            return CoverageReason.VERSION_GONE
+        case NotRun(NotRunReason.FAILURE_DOMAIN_OUT):
+            return CoverageReason.FAILURE_DOMAIN_OUT
+        case NotRun(reason) if reason in _NO_OWNER_REASONS:
+            return CoverageReason.NO_OWNER
+        case _:
+            return CoverageReason.NOT_RUN
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/search_recovery.py
@@ -0,0 +1,250 @@
+"""Hedges, retries and fail-over of a search session."""
+
+from datetime import timedelta
+
+from celeryferry_core.decisions.front import ShardHedged, ShardRetried, ShardRouted
+from celeryferry_core.models.outcomes import CoverageReason
+from celeryferry_core.models.topology import Host
+from celeryferry_core.routing import Choice
+from celeryferry_core.search_progress import Attempt, BatchProgress, ShardProgress
+from celeryferry_core.search_state import SessionState
+from celeryferry_core.snapshots import PinChoice
+
+# The owner's first line leaves after the hedge delay; it needs some time to arrive.
+FLUSH_GRACE = timedelta(milliseconds=4)
+# While a lease moves, no host owns the key for up to about a second.
+FIRST_ROUND_PAUSE = timedelta(milliseconds=50)
+MAX_ROUNDS = 5
+
+
+class Recovery:
+    """Decides where a shard is asked first, and where after a delay or failure.
+
+    :param state: state of the session.
+    """
+
+    __slots__ = ("_state",)
+
+    def __init__(self, state: SessionState) -> None:
+        self._state = state
+
+    def begin(self, pin: PinChoice | None, now: timedelta) -> None:
+        """Choose a replica for every shard of a snapshot.
+
+        :param pin: index version of the query, None if no version is known.
+        :param now: present monotonic time.
+        """
+        self._state.begin(pin)
+        owners: dict[str, Host | None] = {}
+        for progress in self._state.shards.values():
+            self.route(progress, now, owners)
+        self._state.has_begun = True
+
+    def route(
+        self,
+        progress: ShardProgress,
+        now: timedelta,
+        owners: dict[str, Host | None] | None = None,
+    ) -> None:
+        """Choose the first replica of a shard.
+
+        :param progress: the shard.
+        :param now: present monotonic time.
+        :param owners: owners by key, shared by the shards of the query.
+        """
+        part = progress.planned
+        choice = self._state.router.choose(
+            part, self._state.version, now, owners=owners
+        )
+        if isinstance(choice, CoverageReason):
+            self._state.decide_choice(ShardRouted, progress, None, choice)
+            self._pause_or_miss(progress, choice, now)
+            return
+        self._state.decide_choice(ShardRouted, progress, choice, choice.reason)
+        if self._state.has_begun:
+            self._state.budgets.extra += 1
+        else:
+            document = part.document
+            self._state.budgets.count_subquery(
+                document.hedging.budget_percent, document.retries.budget_percent
+            )
+        self._state.enqueue(progress, choice, is_hedge=False)
+
+    def retry(
+        self,
+        progress: ShardProgress,
+        failed: Attempt,
+        ran_nothing: bool,
+        now: timedelta,
+    ) -> None:
+        """Ask another replica after a failure, or count the shard as missing.
+
+        :param progress: the shard; none of its subqueries is open.
+        :param failed: subquery that failed.
+        :param ran_nothing: whether it is certain that it did not run.
+        :param now: present monotonic time.
+        """
+        if now >= progress.wait_until:
+            self._miss(progress)
+            return
+        state = self._state
+        failed_domain = failed.route.failure_domain
+        choice = state.router.choose(
+            progress.planned,
+            state.version,
+            now,
+            progress.tried,
+            progress.failed_hosts,
+            failed_domain,
+        )
+        cause = str(progress.cause)
+        if isinstance(choice, CoverageReason):
+            state.decide_choice(ShardRetried, progress, None, choice, cause=cause)
+            self._pause_or_miss(progress, progress.reason or choice, now)
+            return
+        may_use_floor = ran_nothing or choice.route.failure_domain != failed_domain
+        if not state.budgets.take_retry(now, may_use_floor):
+            state.decide_choice(ShardRetried, progress, None, "budget", cause=cause)
+            self._miss(progress)
+            return
+        state.decide_choice(ShardRetried, progress, choice, choice.reason, cause=cause)
+        state.enqueue(progress, choice, is_hedge=False)
+
+    def _pause_or_miss(
+        self, progress: ShardProgress, reason: CoverageReason, now: timedelta
+    ) -> None:
+        progress.reason = reason
+        pause = FIRST_ROUND_PAUSE * 2**progress.round
+        is_moving = reason is CoverageReason.NO_OWNER and progress.round < MAX_ROUNDS
+        if not is_moving or now + pause >= progress.wait_until:
+            self._miss(progress)
+            return
+        progress.round += 1
+        progress.retry_at = now + pause
+
+    def _miss(self, progress: ShardProgress) -> None:
+        if not progress.open_attempts():
+            self._state.pending.pop(progress.shard_id, None)
+
+    def _start_round(self, progress: ShardProgress, now: timedelta) -> None:
+        progress.retry_at = None
+        progress.tried.clear()
+        progress.failed_hosts.clear()
+        progress.was_redirected = False
+        if progress.attempts:
+            self.retry(progress, progress.attempts[-1], True, now)
+        else:
+            self.route(progress, now)
+
+    def note_line(self, batch: BatchProgress, is_first: bool, now: timedelta) -> None:
+        """Hedge what a line shows to be late, at once or when the delay is over.
+
+        :param batch: batch of the line.
+        :param is_first: whether it is the first line.
+        :param now: present monotonic time.
+        """
+        if is_first and not batch.was_hedged:
+            batch.hedge_at = batch.late_at
+        if now >= batch.hedge_at and (is_first or batch.was_denied):
+            self.hedge_batch(batch, now)
+
+    def hedge_batch(self, batch: BatchProgress, now: timedelta) -> None:
+        """Ask a second owner for the shards of a batch that are still pending.
+
+        :param batch: the batch.
+        :param now: present monotonic time.
+        """
+        batch.was_hedged = True
+        batch.was_denied = False
+        if not self._state.mechanisms.hedging:
+            return
+        late: list[tuple[ShardProgress, Choice]] = []
+        for shard_id, attempt in batch.attempts.items():
+            progress = self._state.pending.get(shard_id)
+            if progress is None or not attempt.is_open or progress.was_hedged:
+                continue
+            choice = self._choose_hedge(progress, attempt, batch.host, now)
+            if choice is not None:
+                late.append((progress, choice))
+        batch.was_denied = not self._state.budgets.take_hedges(len(late))
+        for progress, choice in late:
+            self._hedge(progress, choice, batch.was_denied)
+
+    def _choose_hedge(
+        self, progress: ShardProgress, attempt: Attempt, host: Host, now: timedelta
+    ) -> Choice | None:
+        if progress.planned.document.hedging.budget_percent <= 0:
+            return None
+        choice = self._state.router.choose(
+            progress.planned,
+            self._state.version,
+            now,
+            progress.tried,
+            progress.failed_hosts | {host.host_id},
+            attempt.route.failure_domain,
+        )
+        if not isinstance(choice, CoverageReason):
+            return choice
+        progress.was_hedged = True
+        self._state.decide_choice(ShardHedged, progress, None, choice)
+        return None
+
+    def _hedge(self, progress: ShardProgress, choice: Choice, is_denied: bool) -> None:
+        if is_denied:
+            self._state.decide_choice(ShardHedged, progress, None, "budget")
+            return
+        progress.was_hedged = True
+        self._state.decide_choice(ShardHedged, progress, choice, choice.reason)
+        self._state.enqueue(progress, choice, is_hedge=True)
+
+    def wake(self, now: timedelta) -> None:
+        """Do what is due at the present time.
+
+        :param now: present monotonic time.
+        """
+        self._state.timer_at = None
+        for progress in list(self._state.pending.values()):
+            if progress.retry_at is not None and progress.retry_at <= now:
+                self._start_round(progress, now)
+            if progress.rescue_at is not None and progress.rescue_at <= now:
+                self._rescue(progress, now)
+        for batch in list(self._state.batches.values()):
+            if not batch.was_hedged and batch.hedge_at <= now:
+                if self._is_stalled(batch, now):
+                    continue
+                self.hedge_batch(batch, now)
+            is_due = batch.silent_at <= now and not batch.was_silent
+            if is_due and not batch.has_line:
+                self._fail_over(batch, now)
+
+    def _is_stalled(self, batch: BatchProgress, now: timedelta) -> bool:
+        if batch.was_postponed or now - batch.hedge_at < FLUSH_GRACE:
+            return False
+        # The timer is late, so this process was stalled, and the answers may already
+        # wait in its sockets; hedging now would spend the budget on them.
+        batch.was_postponed = True
+        batch.hedge_at = now + FLUSH_GRACE
+        batch.silent_at = max(batch.silent_at, now + FLUSH_GRACE)
+        return True
+
+    def _rescue(self, progress: ShardProgress, now: timedelta) -> None:
+        # The hedge budget bounds extra work for latency. A shard that would be missing
+        # is worth a retry as after a failure, while there is time for an answer.
+        progress.rescue_at = None
+        waiting = progress.open_attempts()
+        if len(waiting) == 1 and self._state.mechanisms.hedging:
+            progress.cause = "late"
+            self.retry(progress, waiting[0], False, now)
+
+    def _fail_over(self, batch: BatchProgress, now: timedelta) -> None:
+        batch.was_silent = True
+        queued = {progress.shard_id for progress, _, _ in self._state.outbox}
+        for shard_id, attempt in batch.attempts.items():
+            progress = self._state.pending.get(shard_id)
+            if progress is None or not attempt.is_open or shard_id in queued:
+                continue
+            self._state.router.mark_unsettled(attempt.route.key, now)
+            progress.failed_hosts.add(batch.host.host_id)
+            if len(progress.open_attempts()) == 1:
+                progress.cause = "owner_silent"
+                self.retry(progress, attempt, False, now)
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/search_replan.py
@@ -0,0 +1,81 @@
+"""Re-planning of a query whose index version is gone from an upstream."""
+
+from datetime import timedelta
+
+from celeryferry_core.decisions.front import QueryReplanned
+from celeryferry_core.search_events import CancelBatch, Record, RefreshObservations
+from celeryferry_core.search_recovery import Recovery
+from celeryferry_core.search_state import SessionState
+from celeryferry_core.snapshots import PinChoice
+
+
+class Replanner:
+    """Moves a query to a newer index version once.
+
+    Without a newer version that covers every shard, the observations are refreshed
+    first, because the replicas of the other shards may have moved on as well.
+
+    :param state: state of the session.
+    :param recovery: chooses replicas.
+    :ivar awaits_refresh: whether the observations are being refreshed.
+    """
+
+    __slots__ = ("_recovery", "_refreshed", "_replanned", "_state", "awaits_refresh")
+
+    def __init__(self, state: SessionState, recovery: Recovery) -> None:
+        self._state = state
+        self._recovery = recovery
+        self._replanned = False
+        self._refreshed = False
+        self.awaits_refresh = False
+
+    def resolve(self, now: timedelta) -> None:
+        """Move the query to a newer version, or retry the shards on the old one.
+
+        :param now: present monotonic time.
+        """
+        state = self._state
+        gone = [part for part in state.pending.values() if part.is_gone]
+        if not gone or self.awaits_refresh:
+            return
+        if state.mechanisms.replanning and not self._replanned:
+            choice = state.router.choose_newer(state.plan, now, state.version)
+            if choice is not None and self._is_worth(choice):
+                self._replan(choice, now)
+                return
+            if not self._refreshed:
+                self._refreshed = True
+                self.awaits_refresh = True
+                state.actions.append(RefreshObservations())
+                return
+        for progress in gone:
+            progress.is_gone = False
+            self._recovery.retry(progress, progress.attempts[-1], True, now)
+
+    def _is_worth(self, choice: PinChoice) -> bool:
+        if choice.is_full:
+            return True
+        state = self._state
+        version = state.version
+        catalog = state.router.catalog
+        still_available = sum(
+            progress.hits is not None
+            or any(catalog.holds(one, version) for one in progress.planned.addresses)
+            for progress in state.shards.values()
+        )
+        return self._refreshed and choice.available_count > still_available
+
+    def _replan(self, choice: PinChoice, now: timedelta) -> None:
+        state = self._state
+        self._replanned = True
+        dropped = [part for part in state.shards.values() if part.hits is not None]
+        if dropped or any(part.open_attempts() for part in state.shards.values()):
+            state.may_have_run = True
+        decision = QueryReplanned(
+            state.request.query_id, state.version, choice.version, len(dropped)
+        )
+        state.actions.append(Record(decision))
+        for batch_id in state.batches:
+            state.actions.append(CancelBatch(batch_id))
+        state.batches.clear()
+        self._recovery.begin(choice, now)
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/search_state.py
@@ -0,0 +1,274 @@
+"""State of one search session and the batches it sends."""
+
+from dataclasses import replace
+from datetime import timedelta
+from typing import Any
+
+from celeryferry_core.budgets import Budgets
+from celeryferry_core.decisions.front import QueryPlanned
+from celeryferry_core.mechanisms import Mechanisms
+from celeryferry_core.models.callers import Hit
+from celeryferry_core.models.topology import Host, ShardId
+from celeryferry_core.plans import ApplicationPlan, PlannedShard
+from celeryferry_core.routing import Choice, Router
+from celeryferry_core.search_events import (
+    Action,
+    CancelBatch,
+    Record,
+    SessionRequest,
+)
+from celeryferry_core.search_progress import Attempt, BatchProgress, ShardProgress
+from celeryferry_core.snapshots import PinChoice
+
+
+def to_ms(duration: timedelta) -> float:
+    """Return a duration in milliseconds.
+
+    :param duration: the duration.
+    """
+    return round(duration.total_seconds() * 1000, 3)
+
+
+class SessionState:
+    """Progress of a query, and the queue of what is to be sent.
+
+    :param request: the query.
+    :param plan: plan of its application.
+    :param router: knowledge about upstreams and owners.
+    :param budgets: budgets of the application.
+    :param mechanisms: active mechanisms.
+    :ivar delay: time before pending subqueries are hedged.
+    :ivar batch_count: batches sent so far.
+    :ivar actions: actions not yet returned.
+    :ivar batches: batches under way, by number.
+    :ivar shards: all shards of the snapshot.
+    :ivar pending: shards whose outcome is awaited.
+    :ivar outbox: subqueries queued for the next batches; True marks a hedge.
+    :ivar version: index version of the query, -1 if no version is known.
+    :ivar timer_at: time of the latest timer.
+    :ivar retry_after_ms: longest retry-after time of a refusal, in milliseconds.
+    :ivar has_begun: whether the first subqueries were chosen.
+    :ivar may_have_run: whether a subquery ended without proof that it did not run.
+    :ivar is_finished: whether the session takes no further events.
+    """
+
+    __slots__ = (
+        "batch_count",
+        "delay",
+        "actions",
+        "batches",
+        "budgets",
+        "has_begun",
+        "is_finished",
+        "may_have_run",
+        "mechanisms",
+        "outbox",
+        "pending",
+        "plan",
+        "request",
+        "retry_after_ms",
+        "router",
+        "shards",
+        "timer_at",
+        "version",
+    )
+
+    def __init__(
+        self,
+        request: SessionRequest,
+        plan: ApplicationPlan,
+        router: Router,
+        budgets: Budgets,
+        mechanisms: Mechanisms,
+    ) -> None:
+        self.request = request
+        self.plan = plan
+        self.router = router
+        self.budgets = budgets
+        self.mechanisms = mechanisms
+        self.delay = budgets.hedge_delay(plan.floor_ms)
+        self.outbox: list[tuple[ShardProgress, Choice, bool]] = []
+        self.batch_count = 0
+        self.timer_at: timedelta | None = None
+        self.retry_after_ms = 0
+        self.has_begun = False
+        self.actions: list[Action] = []
+        self.batches: dict[int, BatchProgress] = {}
+        self.shards: dict[ShardId, ShardProgress] = {}
+        self.pending: dict[ShardId, ShardProgress] = {}
+        self.version = -1
+        self.may_have_run = False
+        self.is_finished = False
+
+    def take_actions(self) -> list[Action]:
+        """Return the actions since the last call."""
+        actions, self.actions = self.actions, []
+        return actions
+
+    def decide(
+        self,
+        kind: type,
+        shard: Any,
+        upstream: str | None,
+        host: Host | None,
+        reason: str,
+        **more: Any,
+    ) -> None:
+        """Record a decision about a shard.
+
+        :param kind: class of the decision.
+        :param shard: anything with ``service`` and ``shard``.
+        :param upstream: chosen upstream, None if there is none.
+        :param host: its owner, None if there is none.
+        :param reason: why it was chosen.
+        :param more: further fields.
+        """
+        host_id = None if host is None else host.host_id
+        decision = kind(
+            query_id=self.request.query_id,
+            service=shard.service,
+            shard=shard.shard,
+            upstream=upstream,
+            host_id=host_id,
+            reason=str(reason),
+            **more,
+        )
+        self.actions.append(Record(decision))
+
+    def note_retry_after(self, retry_after_ms: int) -> None:
+        """Remember the longest retry-after time of a refusal.
+
+        :param retry_after_ms: time in milliseconds.
+        """
+        self.retry_after_ms = max(self.retry_after_ms, retry_after_ms)
+
+    def begin(self, pin: PinChoice | None) -> None:
+        """Take the shards of a snapshot as pending.
+
+        :param pin: index version of the query, None if no version is known.
+        """
+        request = self.request
+        planned = self.plan.shards
+        if pin is not None:
+            self.version = pin.version
+            planned = tuple(
+                part for part in planned if part.shard.includes(pin.version)
+            )
+        decision = QueryPlanned(
+            request.query_id,
+            self.plan.application,
+            None if pin is None else pin.version,
+            len(planned),
+            0 if pin is None else pin.available_count,
+            to_ms(request.deadline - request.started),
+            to_ms(self.delay),
+        )
+        self.actions.append(Record(decision))
+        self.shards = {part.shard_id: self._track(part) for part in planned}
+        self.pending = dict(self.shards)
+        self.outbox.clear()
+
+    def replace_plan(self, plan: ApplicationPlan) -> None:
+        """Take over new routes, so that nothing new goes where work may not go.
+
+        :param plan: new plan of the application.
+        """
+        self.plan = plan
+        by_id = {part.shard_id: part for part in plan.shards}
+        for progress in self.pending.values():
+            old = progress.planned
+            gone = replace(old, routes=(), addresses=())
+            progress.planned = by_id.get(old.shard_id, gone)
+
+    def _track(self, part: PlannedShard) -> ShardProgress:
+        request = self.request
+        wait_until = min(request.deadline, request.started + part.wait)
+        rescue_at = request.started + (wait_until - request.started) / 2
+        return ShardProgress(part, wait_until, rescue_at)
+
+    def decide_choice(
+        self,
+        kind: type,
+        progress: ShardProgress,
+        choice: Choice | None,
+        reason: str,
+        **more: Any,
+    ) -> None:
+        """Record a decision about the replica of a shard.
+
+        :param kind: class of the decision.
+        :param progress: the shard.
+        :param choice: replica and owner, None if there is none.
+        :param reason: why it was chosen, or why there is none.
+        :param more: further fields.
+        """
+        upstream = None if choice is None else choice.route.address
+        owner = None if choice is None else choice.owner
+        candidates = progress.planned.addresses
+        self.decide(
+            kind,
+            progress.shard_id,
+            upstream,
+            owner,
+            reason,
+            candidates=candidates,
+            **more,
+        )
+
+    def enqueue(self, progress: ShardProgress, choice: Choice, is_hedge: bool) -> None:
+        """Queue a subquery for the next batch to its owner.
+
+        :param progress: the shard.
+        :param choice: replica and owner.
+        :param is_hedge: whether another replica was already asked.
+        """
+        progress.tried.add(choice.route.address)
+        self.outbox.append((progress, choice, is_hedge))
+
+    def cover(
+        self,
+        progress: ShardProgress,
+        attempt: Attempt,
+        hits: list[Hit],
+        is_flush: bool,
+        now: timedelta,
+    ) -> None:
+        """Take the first valid answer of a shard.
+
+        :param progress: the shard.
+        :param attempt: subquery that was answered.
+        :param hits: its hits.
+        :param is_flush: whether the answer waited for the owner's first line.
+        :param now: present monotonic time.
+        """
+        attempt.is_open = False
+        if self.pending.pop(progress.shard_id, None) is None:
+            return
+        progress.hits = hits
+        self._sample_latency(attempt, is_flush, now)
+        for other in progress.open_attempts():
+            other.is_open = False
+            if other.sent_at < attempt.sent_at:
+                # The next queries of this host would wait for it, too, until its owner
+                # has reported the latency.
+                self.router.suspects.mark(other.route.address, now)
+            batch = self.batches.get(other.batch_id)
+            if batch is not None and not batch.is_waiting:
+                del self.batches[other.batch_id]
+                self.actions.append(CancelBatch(other.batch_id))
+
+    def _sample_latency(self, attempt: Attempt, is_flush: bool, now: timedelta) -> None:
+        elapsed_ms = to_ms(now - attempt.sent_at)
+        if is_flush:
+            # The line waited for the hedge delay; only the owner knows the real time.
+            seen = self.router.catalog.observation_of(attempt.route.address)
+            if seen is None:
+                return
+            elapsed_ms = min(elapsed_ms, seen.latency_ms)
+        self.budgets.latencies.record(elapsed_ms)
+
+    def cancel_all(self) -> None:
+        """Close the streams of all batches."""
+        for batch_id in self.batches:
+            self.actions.append(CancelBatch(batch_id))
+        self.batches.clear()
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/settings.py
@@ -0,0 +1,157 @@
+"""Daemon settings: parsing with every mistake reported."""
+
+from pathlib import Path
+
+from result import Err, Ok, Result
+
+from celeryferry_core.checking import TableReader
+from celeryferry_core.exceptions import FieldError, SettingsErrors
+from celeryferry_core.findings import Findings, parse_toml
+from celeryferry_core.models.settings import DaemonSettings, LimitSettings
+from celeryferry_core.models.topology import Host
+
+MAX_SETTINGS_BYTES = 65_536
+MIN_TOKEN_CHARACTERS = 16
+MAX_TOKEN_CHARACTERS = 1_024
+MAX_WAITING_REQUESTS = 100_000
+MIN_BODY_BYTES = 1_024
+MAX_BODY_BYTES = 1_048_576
+MAX_TICKETS = 1_000_000
+MIN_TICKET_VALID_MS = 100
+MAX_TICKET_VALID_MS = 3_600_000
+MIN_ENTRY_HOSTS_VALID_MS = 100
+MAX_ENTRY_HOSTS_VALID_MS = 60_000
+LOG_LEVELS = ("debug", "info", "notice", "warning", "error")
+
+_TOKEN_RULE = (
+    f"a file with a token of {MIN_TOKEN_CHARACTERS} to {MAX_TOKEN_CHARACTERS} "
+    "printable ASCII characters without spaces"
+)
+
+
+def load_settings(path: Path) -> Result[DaemonSettings, SettingsErrors]:
+    """Read and check the settings file and the fleet token it names.
+
+    :param path: settings file.
+    :returns: the settings, or every mistake in them.
+    """
+    source = read_text_file(path, MAX_SETTINGS_BYTES)
+    if isinstance(source, Err):
+        rule = f"a UTF-8 text file of at most {MAX_SETTINGS_BYTES} bytes"
+        return _fail(FieldError("", f"{path}: {source.err_value}", rule))
+    parsed = parse_toml(source.ok_value)
+    if isinstance(parsed, Err):
+        return _fail(parsed.err_value)
+    findings = Findings(source.ok_value)
+    settings = _read_settings(TableReader(findings, parsed.ok_value), path.parent)
+    if findings.errors:
+        return _fail(*findings.sorted_errors())
+    return Ok(settings)
+
+
+def read_token(path: Path) -> Result[str, FieldError]:
+    """Read a fleet token; its text never appears in an error.
+
+    :param path: file that contains nothing but the token.
+    :returns: the token without surrounding white space, or what is wrong.
+    """
+    source = read_text_file(path, 2 * MAX_TOKEN_CHARACTERS)
+    if isinstance(source, Err):
+        return Err(FieldError("", f"{path.name}: {source.err_value}", _TOKEN_RULE))
+    token = source.ok_value.strip()
+    if not MIN_TOKEN_CHARACTERS <= len(token) <= MAX_TOKEN_CHARACTERS:
+        found = f"{path.name}: a token of {len(token)} characters"
+        return Err(FieldError("", found, _TOKEN_RULE))
+    if not all("!" <= character <= "~" for character in token):
+        found = f"{path.name}: a token with other characters"
+        return Err(FieldError("", found, _TOKEN_RULE))
+    return Ok(token)
+
+
+def read_text_file(path: Path, most_bytes: int) -> Result[str, str]:
+    """Read a file of bounded size.
+
+    :param path: file.
+    :param most_bytes: largest allowed size in bytes.
+    :returns: the text, or what is wrong in a few words.
+    """
+    try:
+        with path.open("rb") as file:
+            content = file.read(most_bytes + 1)
+        if len(content) > most_bytes:
+            return Err(f"more than {most_bytes} bytes")
+        return Ok(content.decode())
+    except OSError as error:
+        return Err((error.strerror or "cannot be read").lower())
+    except ValueError:
+        return Err("not a UTF-8 text file, or not a valid file name")
+
+
+def _fail(*errors: FieldError) -> Err[SettingsErrors]:
+    return Err(SettingsErrors(errors))
+
+
+def _read_settings(top: TableReader, folder: Path) -> DaemonSettings:
+    settings = DaemonSettings(
+        host=Host(
+            host_id=top.read_name("host_id"),
+            failure_domain=top.read_name("failure_domain"),
+            callers_address=top.read_address("callers_address"),
+            peers_address=top.read_address("peers_address"),
+        ),
+        fleet_token=_read_token_field(top, folder),
+        configuration_service=top.read_address("configuration_service"),
+        host_list=top.read_address("host_list"),
+        limits=_read_limits(top.open_table("limits")),
+        log_level=_read_log(top.open_table("log")),
+    )
+    callers_address = settings.host.callers_address
+    if callers_address and callers_address == settings.host.peers_address:
+        top.reject("peers_address", callers_address, "another port than for callers")
+    top.close()
+    return settings
+
+
+def _read_token_field(top: TableReader, folder: Path) -> str | None:
+    name = top.read_text("fleet_token_file", _TOKEN_RULE)
+    if name is None:
+        return None
+    match read_token(folder / name):
+        case Ok(token):
+            return token
+        case Err(error):
+            top.reject("fleet_token_file", error.found, error.allowed)
+            return None
+
+
+def _read_limits(table: TableReader) -> LimitSettings:
+    default = LimitSettings()
+    limits = LimitSettings(
+        waiting_requests=table.read_whole(
+            "waiting_requests", 1, MAX_WAITING_REQUESTS, default.waiting_requests
+        ),
+        body_bytes=table.read_whole(
+            "body_bytes", MIN_BODY_BYTES, MAX_BODY_BYTES, default.body_bytes
+        ),
+        tickets=table.read_whole("tickets", 1, MAX_TICKETS, default.tickets),
+        ticket_valid_ms=table.read_whole(
+            "ticket_valid_ms",
+            MIN_TICKET_VALID_MS,
+            MAX_TICKET_VALID_MS,
+            default.ticket_valid_ms,
+        ),
+        entry_hosts_valid_ms=table.read_whole(
+            "entry_hosts_valid_ms",
+            MIN_ENTRY_HOSTS_VALID_MS,
+            MAX_ENTRY_HOSTS_VALID_MS,
+            default.entry_hosts_valid_ms,
+        ),
+    )
+    table.close()
+    return limits
+
+
+def _read_log(table: TableReader) -> str | None:
+    level = table.read_choice("level", LOG_LEVELS, default="info")
+    table.close()
+    return level
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/snapshots.py
@@ -0,0 +1,200 @@
+"""Known index versions of upstreams and the version that a query is pinned to."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from celeryferry_core.models.messages import UpstreamObservation
+from celeryferry_core.models.outcomes import UpstreamState
+from celeryferry_core.models.topology import Shard
+
+_UNUSABLE = (UpstreamState.DRAINING, UpstreamState.UNREACHABLE)
+
+
+class UpstreamCatalog:
+    """What this host knows about upstreams from observations and refusals.
+
+    :ivar generation: grows when a version or state changes, so that results derived
+        from them can be cached.
+    """
+
+    __slots__ = ("_observations", "_observed", "_unusable", "_versions", "generation")
+
+    def __init__(self) -> None:
+        self._observations: dict[str, UpstreamObservation] = {}
+        self._versions: dict[str, frozenset[int]] = {}
+        self._observed: set[str] = set()
+        self._unusable: set[str] = set()
+        self.generation = 0
+
+    def record(self, observation: UpstreamObservation) -> None:
+        """Take over an observation.
+
+        An owner that has not reached the upstream yet knows no versions; the versions
+        known before then stay.
+
+        :param observation: state of one upstream.
+        """
+        self._observations[observation.address] = observation
+        self._observed.add(observation.address)
+        if observation.index_versions:
+            self.record_versions(observation.address, observation.index_versions)
+        self.record_state(observation.address, observation.state)
+
+    def take_observed(self) -> set[str]:
+        """Return the upstreams observed since the previous call.
+
+        :returns: addresses.
+        """
+        observed, self._observed = self._observed, set()
+        return observed
+
+    def record_versions(self, address: str, versions: Iterable[int]) -> None:
+        """Replace the versions that an upstream holds.
+
+        :param address: address of the upstream.
+        :param versions: all index versions it holds.
+        """
+        held = frozenset(versions)
+        if self._versions.get(address) != held:
+            self._versions[address] = held
+            self.generation += 1
+
+    def drop_version(self, address: str, version: int) -> None:
+        """Forget that an upstream holds a version.
+
+        :param address: address of the upstream.
+        :param version: index version that it refused.
+        """
+        held = self._versions.get(address, frozenset())
+        if version in held:
+            self._versions[address] = held - {version}
+            self.generation += 1
+
+    def record_state(self, address: str, state: UpstreamState) -> None:
+        """Take over the state of an upstream.
+
+        :param address: address of the upstream.
+        :param state: state that its owner saw.
+        """
+        unusable = state in _UNUSABLE
+        if unusable == (address in self._unusable):
+            return
+        if unusable:
+            self._unusable.add(address)
+        else:
+            self._unusable.discard(address)
+        self.generation += 1
+
+    def keep_only(self, addresses: frozenset[str]) -> None:
+        """Forget upstreams that no document names, so that memory stays bounded.
+
+        :param addresses: upstreams in the active documents.
+        """
+        for known in (self._observations, self._versions):
+            for address in known.keys() - addresses:
+                del known[address]
+        self._unusable &= addresses
+        self.generation += 1
+
+    def observation_of(self, address: str) -> UpstreamObservation | None:
+        """Return the latest observation of an upstream.
+
+        :param address: address of the upstream.
+        :returns: the observation, or None.
+        """
+        return self._observations.get(address)
+
+    def versions_of(self, address: str) -> frozenset[int]:
+        """Return the versions that an upstream is known to hold.
+
+        :param address: address of the upstream.
+        :returns: index versions; empty if not known.
+        """
+        return self._versions.get(address, frozenset())
+
+    def is_unknown(self, address: str) -> bool:
+        """Tell whether an upstream is usable and may hold any version.
+
+        :param address: address of the upstream.
+        :returns: True if no observation or refusal has named its versions yet.
+        """
+        return address not in self._unusable and address not in self._versions
+
+    def is_usable(self, address: str) -> bool:
+        """Tell whether new work may be sent to an upstream.
+
+        :param address: address of the upstream.
+        :returns: False if it was seen draining or unreachable.
+        """
+        return address not in self._unusable
+
+    def holds(self, address: str, version: int) -> bool:
+        """Tell whether an upstream is usable and known to hold a version.
+
+        :param address: address of the upstream.
+        :param version: index version.
+        """
+        return address not in self._unusable and version in self.versions_of(address)
+
+
+@dataclass(frozen=True, slots=True)
+class PinChoice:
+    """Index version that a query may be pinned to.
+
+    :param version: the index version.
+    :param available_count: shards of its shard map with a live replica that holds it.
+    :param shard_count: shards of its shard map.
+    """
+
+    version: int
+    available_count: int
+    shard_count: int
+
+    @property
+    def is_full(self) -> bool:
+        """Whether every shard of the version's shard map is available."""
+        return self.available_count == self.shard_count
+
+
+def choose_snapshot(
+    shards: Sequence[tuple[Shard, tuple[str, ...]]],
+    catalog: UpstreamCatalog,
+    newer_than: int | None = None,
+) -> PinChoice | None:
+    """Choose the index version of a query.
+
+    :param shards: shards with the addresses that routing may use.
+    :param catalog: known versions.
+    :param newer_than: only versions above it are considered; None for all.
+    :returns: the newest version available on every shard, else the newest of those
+        that cover most shards, or None if no version is known.
+    """
+    versions = {
+        version
+        for _, addresses in shards
+        for address in addresses
+        if catalog.is_usable(address)
+        for version in catalog.versions_of(address)
+        if newer_than is None or version > newer_than
+    }
+    best: PinChoice | None = None
+    for version in sorted(versions, reverse=True):
+        choice = _count_available(shards, catalog, version)
+        if choice.shard_count and choice.is_full:
+            return choice
+        if best is None or choice.available_count > best.available_count:
+            best = choice
+    return best if best is not None and best.available_count else None
+
+
+def _count_available(
+    shards: Sequence[tuple[Shard, tuple[str, ...]]],
+    catalog: UpstreamCatalog,
+    version: int,
+) -> PinChoice:
+    included = [addresses for shard, addresses in shards if shard.includes(version)]
+    available = sum(
+        any(catalog.holds(address, version) for address in addresses)
+        for addresses in included
+    )
+    return PinChoice(version, available, len(included))
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/suspects.py
@@ -0,0 +1,42 @@
+"""Replicas whose answers were faulty or lost lately."""
+
+from datetime import timedelta
+
+from celeryferry_core.models.topology import Host
+from celeryferry_core.plans import Route
+
+# Such a replica is a last choice for this time; else every query would ask it first
+# and the retry budget would run out.
+SUSPECTED_TIME = timedelta(seconds=1)
+
+
+class Suspects:
+    """Replicas that are a last choice for ``SUSPECTED_TIME``."""
+
+    __slots__ = ("_until",)
+
+    def __init__(self) -> None:
+        self._until: dict[str, timedelta] = {}
+
+    def mark(self, address: str, now: timedelta) -> None:
+        """Suspect a replica.
+
+        :param address: upstream whose answer was faulty or lost.
+        :param now: present monotonic time.
+        """
+        self._until[address] = now + SUSPECTED_TIME
+
+    def leave_out(
+        self, owned: list[tuple[Route, Host]], now: timedelta
+    ) -> list[tuple[Route, Host]]:
+        """Leave out suspected replicas unless there are no others.
+
+        :param owned: replicas with their owners.
+        :param now: present monotonic time.
+        :returns: the remaining replicas.
+        """
+        if not self._until or len(owned) < 2:
+            return owned
+        for address in [key for key, end in self._until.items() if end <= now]:
+            del self._until[address]
+        return [pair for pair in owned if pair[0].address not in self._until] or owned
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of the celeryferry query tier."""
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters and tasks of the daemon."""
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/app.py
@@ -0,0 +1,285 @@
+"""Assembly of the daemon."""
+
+import asyncio
+import random as random_module
+import secrets
+import signal
+from datetime import timedelta
+from enum import StrEnum
+from typing import Any
+
+from aiohttp import web
+from aioprometheus import Registry
+
+from celeryferry_core.decisions.fleet import StateChanged, StopTimedOut
+from celeryferry_core.documents import parse_document
+from celeryferry_core.mechanisms import Mechanisms
+from celeryferry_core.models.messages import DocumentsReply, DocumentsRequest
+from celeryferry_core.models.settings import DaemonSettings
+from celeryferry_core.models.status import DaemonStatus
+from celeryferry_core.ports import Clock, DecisionLog, PeerClient, RandomSource
+from celeryferry_daemon._internal.callers_gate import CallersGate
+from celeryferry_daemon._internal.clock import SystemClock, to_ms
+from celeryferry_daemon._internal.configuration.store import Parse
+from celeryferry_daemon._internal.control_plane import ControlPlane
+from celeryferry_daemon._internal.entry_hosts import EntryHostsDesk
+from celeryferry_daemon._internal.logs import LogbookDecisionLog
+from celeryferry_daemon._internal.operator import OperatorDesk
+from celeryferry_daemon._internal.parts import Base, BuildParts, build_parts
+from celeryferry_daemon._internal.peers.client import HttpPeerClient
+from celeryferry_daemon._internal.peers.server import (
+    MAX_CALLER_CONNECTIONS,
+    MAX_PEER_CONNECTIONS,
+    ControlRoutes,
+    make_peer_app,
+    start_listener,
+)
+from celeryferry_daemon._internal.peers.traffic import TrafficMetrics
+from celeryferry_daemon._internal.status import read_status
+from celeryferry_daemon._internal.streams import Streams
+from celeryferry_daemon._internal.tasks import TaskSet
+
+# Time within which all hosts know that this one is leaving: one probe interval in its
+# own cell and two for the gossip between cells, with room for lost probes.
+SPREAD_MARGIN = timedelta(seconds=2)
+
+# Bounds the wait for running requests; no deadline is longer.
+MAX_REQUEST_TIME = timedelta(seconds=60)
+HANDLER_STOP_TIME = timedelta(seconds=5)
+POLL_INTERVAL = timedelta(milliseconds=50)
+
+
+class DaemonState(StrEnum):
+    """Phase of the life of a daemon."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    LEAVING = "leaving"
+    STOPPED = "stopped"
+
+
+class Daemon:
+    """One daemon with all its tasks.
+
+    :param settings: checked settings; port 0 lets the kernel choose a port.
+    :param mechanisms: switches for tests.
+    :param peers: client of other daemons; None for HTTP.
+    :param clock: source of time.
+    :param random: source of random numbers.
+    :param log: receiver of decisions; None for Logbook.
+    :param parse: checks a document's text; None for the product's parser.
+    :param make_parts: builds the roles.
+    """
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        mechanisms: Mechanisms = Mechanisms(),  # noqa: B008
+        peers: PeerClient | None = None,
+        clock: Clock | None = None,
+        random: RandomSource | None = None,
+        log: DecisionLog | None = None,
+        parse: Parse | None = None,
+        make_parts: BuildParts = build_parts,
+    ) -> None:
+        self.settings = settings
+        self.incarnation = secrets.token_hex(8)
+        self.state = DaemonState.STARTING
+        self.streams = Streams()
+        self.registry = Registry()
+        self.callers_address = settings.host.callers_address
+        self.peers_address = settings.host.peers_address
+        self.stopped = asyncio.Event()
+        self.ready = asyncio.Event()
+        self._mechanisms = mechanisms
+        self._clock = clock or SystemClock()
+        self._random = random or random_module.SystemRandom()
+        self._log = log or LogbookDecisionLog(settings.log_level)
+        self._peers = peers or HttpPeerClient(settings.fleet_token)
+        self._tasks = TaskSet()
+        self._drain_task: asyncio.Task | None = None
+        graceful = mechanisms.graceful_stop
+        self._stop_timeout = MAX_REQUEST_TIME if graceful else timedelta(0)
+        self._runners: list[web.AppRunner] = []
+        base = Base(
+            settings=settings,
+            incarnation=self.incarnation,
+            streams=self.streams,
+            peers=self._peers,
+            clock=self._clock,
+            random=self._random,
+            log=self._log,
+            registry=self.registry,
+            mechanisms=mechanisms,
+        )
+        self._traffic_metrics = TrafficMetrics(self.registry)
+        self.control = ControlPlane(base, parse or parse_document)
+        self.callers = CallersGate()
+        self._parts = make_parts(base, self.control.keeper, self.control.gate)
+        if self._parts.owner is not None:
+            self.control.keeper.in_flight = self._parts.owner.in_flight
+
+    async def start(self) -> None:
+        """Bind both listeners and start all tasks.
+
+        :raises OSError: if an address cannot be bound; nothing is left running.
+        """
+        try:
+            await self._start_clients_and_listeners()
+        except OSError:
+            await self._stop()
+            raise
+        self.control.start(self._tasks)
+        self._tasks.spawn_lasting(self._run_configuration, "configuration")
+
+    async def run(self) -> None:
+        """Start, and return once a planned stop is finished."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.begin_drain)
+        await self.start()
+        await self.stopped.wait()
+
+    def begin_drain(self) -> None:
+        """Start a planned stop unless one is under way."""
+        if self._drain_task is None:
+            self._announce_leaving()
+            self._drain_task = asyncio.create_task(self._drain(), name="drain")
+
+    async def drain(self) -> None:
+        """Stop without interrupting requests and return when all is stopped."""
+        self.begin_drain()
+        await self.stopped.wait()
+
+    def read_status(self) -> DaemonStatus:
+        """Return the present status.
+
+        :returns: the status.
+        """
+        return read_status(self)
+
+    def now(self) -> timedelta:
+        """Return the present monotonic time.
+
+        :returns: time of the daemon's clock.
+        """
+        return self._clock.monotonic()
+
+    async def _start_clients_and_listeners(self) -> None:
+        await self.control.service.start()
+        host = self.settings.host
+        # Before the listeners, so that no request meets a role that has not started.
+        await self._parts.call_all("start")
+        bound = MAX_CALLER_CONNECTIONS
+        peer_app = make_peer_app(self.settings.fleet_token, self._list_peer_routes())
+        self.peers_address = await self._listen(peer_app, host.peers_address)
+        self.callers_address = await self._listen(
+            self._make_callers_app(), host.callers_address, bound
+        )
+
+    async def _listen(
+        self, app: web.Application, address: str, bound: int = MAX_PEER_CONNECTIONS
+    ) -> str:
+        timeout = min(self._stop_timeout, HANDLER_STOP_TIME)
+        runner = await start_listener(app, address, timeout, bound)
+        self._runners.append(runner)
+        ip, port = runner.addresses[0][:2]
+        return f"{ip}:{port}"
+
+    def _make_callers_app(self) -> web.Application:
+        limits = self.settings.limits
+        app = web.Application(
+            client_max_size=limits.body_bytes,
+            middlewares=[self.callers.make_middleware()],
+        )
+        entry_hosts = EntryHostsDesk(
+            self.settings.host, limits, self.streams, self._random
+        )
+        app.add_routes(entry_hosts.caller_routes())
+        app.add_routes(self._parts.list_routes("caller_routes"))
+        return app
+
+    def _list_peer_routes(self) -> list[web.RouteDef]:
+        control = ControlRoutes(
+            self.control.prober.answer,
+            self._answer_documents,
+            self.registry,
+            self._update_metrics,
+        )
+        operator = OperatorDesk(self.read_status, self.begin_drain, self._explain)
+        routes = control.routes() + operator.peer_routes()
+        return routes + self._parts.list_routes("peer_routes")
+
+    def _update_metrics(self) -> None:
+        self.control.metrics.update(self.read_status())
+        if isinstance(self._peers, HttpPeerClient):
+            self._traffic_metrics.update(self._peers.traffic)
+
+    def _answer_documents(self, request: DocumentsRequest) -> DocumentsReply | None:
+        return self.control.store.answer(request) if self.ready.is_set() else None
+
+    def _explain(self, application: str) -> Any:
+        known = self.streams.configuration.value.services_of(application)
+        if not known or self._parts.front is None:
+            return None
+        return self._parts.front.explain(application)
+
+    async def _run_configuration(self) -> None:
+        control = self.control
+        await control.start_up()
+        self.ready.set()
+        control.table.serving = True
+        control.gate.open = True
+        self.callers.serving = True
+        if self.state is DaemonState.STARTING:
+            self._change_state(DaemonState.SERVING)
+        control.prober.refresh()
+        control.prober.kick()
+        await control.configuration.run()
+
+    async def _stop_parts(self) -> None:
+        try:
+            async with asyncio.timeout(self._stop_timeout.total_seconds()):
+                await self._parts.call_all("stop")
+        except TimeoutError:
+            self._log.record(StopTimedOut(to_ms(self._stop_timeout)))
+
+    def _change_state(self, state: DaemonState) -> None:
+        self.state = state
+        self._log.record(StateChanged(state.value))
+
+    def _announce_leaving(self) -> None:
+        self.control.table.leaving = True
+        self.callers.leaving = True
+        self._change_state(DaemonState.LEAVING)
+        self.control.prober.refresh()
+        self.control.prober.kick()
+
+    async def _drain(self) -> None:
+        if self._mechanisms.graceful_stop and self.ready.is_set():
+            validity = self.settings.limits.entry_hosts_validity
+            await asyncio.sleep((validity + SPREAD_MARGIN).total_seconds())
+            await self._wait_until_idle()
+        await self._stop()
+
+    async def _wait_until_idle(self) -> None:
+        deadline = self._clock.monotonic() + MAX_REQUEST_TIME
+        while self._clock.monotonic() < deadline:
+            if not self.callers.in_flight and not self.control.keeper.has_grants():
+                return
+            await asyncio.sleep(POLL_INTERVAL.total_seconds())
+
+    async def _stop(self) -> None:
+        # The peers' listener, bound first, is closed last: other fronts still wait
+        # for the answers of the work that the owner finishes.
+        for runner in reversed(self._runners[1:]):
+            await runner.cleanup()
+        await self._stop_parts()
+        for runner in self._runners[:1]:
+            await runner.cleanup()
+        await self._tasks.stop()
+        await self.control.stop()
+        if hasattr(self._peers, "close"):
+            await self._peers.close()
+        self._change_state(DaemonState.STOPPED)
+        self.stopped.set()
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/callers_http.py
@@ -0,0 +1,117 @@
+"""Shared helpers of the endpoints for callers: bounded decoding and typed errors."""
+
+import asyncio
+from datetime import timedelta
+from functools import cache
+from typing import Any, TypeVar
+
+import msgspec
+from aiohttp import web
+from result import Err, Ok, Result
+
+from celeryferry_core.models.callers import ErrorAnswer, ErrorBody, ErrorType, Ran
+
+JSON_CONTENT_TYPE = "application/json"
+# A caller that sends its body more slowly than this only holds a connection.
+BODY_TIMEOUT = timedelta(seconds=10)
+DEADLINE_RANGE_MS = (1, 60_000)
+
+STATUS_CODES = {
+    ErrorType.BAD_REQUEST: 400,
+    ErrorType.UNKNOWN_APPLICATION: 404,
+    ErrorType.NOT_FOUND: 404,
+    ErrorType.TOO_LARGE: 413,
+    ErrorType.TICKET_EXPIRED: 410,
+    ErrorType.TICKET_UNKNOWN: 404,
+    ErrorType.OVERLOADED: 503,
+    ErrorType.NO_COVERAGE: 503,
+    ErrorType.STALE_CONFIGURATION: 503,
+    ErrorType.STARTING: 503,
+    ErrorType.OUTCOME_UNKNOWN: 502,
+    ErrorType.NOT_RUN: 503,
+    ErrorType.INTERNAL: 500,
+}
+
+_ENCODER = msgspec.json.Encoder()
+
+T = TypeVar("T")
+
+
+@cache
+def _decoder_of(kind: type[T]) -> msgspec.json.Decoder[T]:
+    return msgspec.json.Decoder(kind)
+
+
+async def decode_body(
+    request: web.Request, kind: type[T], limit_bytes: int
+) -> Result[T, ErrorBody]:
+    """Read and decode the JSON body of a request.
+
+    :param request: the request.
+    :param kind: type of the message; unknown fields are errors if it says so.
+    :param limit_bytes: largest body in bytes.
+    :returns: the message, or the error to send to the caller.
+    """
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT.total_seconds()):
+            body = await _read_bounded(request, limit_bytes)
+    except TimeoutError:
+        return Err(refuse_request("the body did not arrive in time; send it at once"))
+    if body is None:
+        text = f"the body is larger than {limit_bytes} bytes; send a smaller one"
+        return Err(ErrorBody(ErrorType.TOO_LARGE, text, Ran.NO))
+    try:
+        return Ok(_decoder_of(kind).decode(body))
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        return Err(refuse_request(f"the body is not valid: {error}; correct it"))
+
+
+async def _read_bounded(request: web.Request, limit_bytes: int) -> bytes | None:
+    if request.content_length is not None and request.content_length > limit_bytes:
+        return None
+    chunks = bytearray()
+    async for chunk in request.content.iter_any():
+        chunks += chunk
+        if len(chunks) > limit_bytes:
+            return None
+    return bytes(chunks)
+
+
+def refuse_request(message: str) -> ErrorBody:
+    """Return the error for a request that is not valid.
+
+    :param message: what is wrong and what to do.
+    """
+    return ErrorBody(ErrorType.BAD_REQUEST, message, Ran.NO)
+
+
+def check_deadline(deadline_ms: int | None) -> ErrorBody | None:
+    """Check the deadline of a request.
+
+    :param deadline_ms: deadline in milliseconds, None if the caller gave none.
+    :returns: the error to send to the caller, or None.
+    """
+    lowest, highest = DEADLINE_RANGE_MS
+    if deadline_ms is None or lowest <= deadline_ms <= highest:
+        return None
+    text = f"deadline_ms is {deadline_ms}; give {lowest} to {highest}"
+    return refuse_request(text)
+
+
+def error_response(error: ErrorBody) -> web.Response:
+    """Render an error with its status code.
+
+    :param error: the error.
+    :returns: response with an ``ErrorAnswer``.
+    """
+    return json_response(ErrorAnswer(error), STATUS_CODES[error.type])
+
+
+def json_response(message: Any, status: int = 200) -> web.Response:
+    """Render a message as JSON.
+
+    :param message: anything that msgspec encodes.
+    :param status: status code.
+    """
+    body = _ENCODER.encode(message)
+    return web.Response(body=body, status=status, content_type=JSON_CONTENT_TYPE)
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Distribution of service documents."""
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/configuration/manager.py
@@ -0,0 +1,209 @@
+"""Watches the configuration service and runs the start-up."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+from result import Err, Ok
+
+from celeryferry_core.decisions.fleet import (
+    StartupFinished,
+    WatcherChanged,
+    WatchFailed,
+)
+from celeryferry_core.freshness import FRESH_TIME, Freshness
+from celeryferry_core.mechanisms import Mechanisms
+from celeryferry_core.models.messages import DocumentText
+from celeryferry_core.models.topology import Host
+from celeryferry_core.models.views import Membership
+from celeryferry_core.placement import rank_hosts
+from celeryferry_core.ports import Clock, DecisionLog, RandomSource
+from celeryferry_daemon._internal.configuration.puller import PeerPuller
+from celeryferry_daemon._internal.configuration.service import ConfigurationService
+from celeryferry_daemon._internal.configuration.store import ConfigurationStore
+from celeryferry_daemon._internal.streams import Streams
+
+WATCHERS_PER_FAILURE_DOMAIN = 2
+WATCHER_CHECK = timedelta(milliseconds=200)
+RETRY_INTERVAL = timedelta(milliseconds=500)
+PARALLEL_FETCHES = 8
+
+# A host that hears of no confirmation reads by itself, rarely enough that 2,200 hosts
+# stay below the rate of the service.
+FALLBACK_MIN = timedelta(seconds=4)
+FALLBACK_SPREAD = timedelta(seconds=6)
+
+
+class ConfigurationManager:
+    """Keeps the store of one host up to date.
+
+    :param host: this host.
+    :param store: active documents.
+    :param service: client of the configuration service.
+    :param freshness: receives confirmations.
+    :param streams: gives the membership.
+    :param puller: pulls from other daemons.
+    :param clock: source of time.
+    :param random: order of peers and delays.
+    :param log: receiver of decisions.
+    :param mechanisms: switches for tests.
+    """
+
+    def __init__(
+        self,
+        host: Host,
+        store: ConfigurationStore,
+        service: ConfigurationService,
+        freshness: Freshness,
+        streams: Streams,
+        puller: PeerPuller,
+        clock: Clock,
+        random: RandomSource,
+        log: DecisionLog,
+        mechanisms: Mechanisms,
+    ) -> None:
+        self._host = host
+        self._store = store
+        self._service = service
+        self._freshness = freshness
+        self._streams = streams
+        self._puller = puller
+        self._clock = clock
+        self._random = random
+        self._log = log
+        self._mechanisms = mechanisms
+        self._revision: int | None = None
+        self._seen: dict[str, int] = {}
+        self._failed = False
+        self.watching = False
+        self.on_change: Callable[[], None] = lambda: None
+
+    async def start_up(self) -> None:
+        """Return once the first configuration is complete."""
+        answered = (
+            await self._puller.ask_peers() if self._mechanisms.startup_peers else 0
+        )
+        asked = self._puller.count_peers()
+        service_answered = False
+        while not answered and not service_answered:
+            service_answered = await self.read_service()
+            if not service_answered:
+                await asyncio.sleep(RETRY_INTERVAL.total_seconds())
+                answered = await self._ask_peers()
+        count = len(self._store.active)
+        self._log.record(StartupFinished(count, asked, answered, service_answered))
+
+    async def run(self) -> None:
+        """Watch the service while this host is a watcher, until cancelled."""
+        fallback_at = self._next_fallback()
+        while True:
+            self._update_watching()
+            now = self._clock.monotonic()
+            if self.watching:
+                if not await self._watch_service():
+                    await asyncio.sleep(RETRY_INTERVAL.total_seconds())
+                continue
+            self._revision = None
+            if self._is_unconfirmed(now) and now >= fallback_at:
+                await self.read_service()
+                fallback_at = self._next_fallback()
+            await asyncio.sleep(WATCHER_CHECK.total_seconds())
+
+    async def _ask_peers(self) -> int:
+        if not self._mechanisms.startup_peers:
+            return 0
+        return await self._puller.ask_peers()
+
+    def _update_watching(self) -> None:
+        membership: Membership = self._streams.membership.value
+        domain = self._host.failure_domain
+        candidates = [
+            host_id
+            for host_id, host in membership.hosts.items()
+            if host.failure_domain == domain
+            and host_id in membership.live
+            and host_id not in membership.leaving
+        ]
+        ranked = rank_hosts(f"watch/{domain}", candidates)
+        watching = self._host.host_id in ranked[:WATCHERS_PER_FAILURE_DOMAIN]
+        if watching != self.watching:
+            self.watching = watching
+            self._log.record(WatcherChanged(watching))
+
+    def _is_unconfirmed(self, now: timedelta) -> bool:
+        age = self._freshness.service_age(now)
+        return age is None or age > 0.8 * FRESH_TIME
+
+    def _next_fallback(self) -> timedelta:
+        delay = FALLBACK_MIN + FALLBACK_SPREAD * self._random.random()
+        return self._clock.monotonic() + delay
+
+    async def _watch_service(self) -> bool:
+        if self._revision is None:
+            return await self.read_service()
+        sent_at = self._clock.monotonic()
+        answer = await self._service.watch(self._revision)
+        match answer:
+            case Ok(changes) if changes.revision < self._revision:
+                # The service lost revisions or another replica of it answered.
+                self._revision = None
+                return True
+            case Ok(changes):
+                return await self._take(changes.changed, changes.revision, sent_at)
+            case Err(detail):
+                return self._fail(detail)
+        return False
+
+    async def read_service(self) -> bool:
+        """Read the listing and the documents that this host lacks.
+
+        :returns: False if the service did not answer as it should.
+        """
+        sent_at = self._clock.monotonic()
+        answer = await self._service.list_documents()
+        match answer:
+            case Ok(listing):
+                changed = {
+                    name: revision
+                    for name, revision in listing.documents.items()
+                    if self._seen.get(name) != revision
+                    and not self._store.holds(name, revision)
+                }
+                return await self._take(changed, listing.revision, sent_at)
+            case Err(detail):
+                return self._fail(detail)
+        return False
+
+    async def _take(
+        self, changed: dict[str, int], revision: int, sent_at: timedelta
+    ) -> bool:
+        names = sorted(changed)
+        for start in range(0, len(names), PARALLEL_FETCHES):
+            batch = names[start : start + PARALLEL_FETCHES]
+            answers = await asyncio.gather(*(self._service.fetch(n) for n in batch))
+            texts: list[DocumentText] = []
+            for name, answer in zip(batch, answers, strict=True):
+                if answer.is_err():
+                    return self._fail(answer.err_value)
+                text = answer.ok_value
+                if text.name != name or text.revision < changed[name]:
+                    got = f"{text.name} at revision {text.revision}"
+                    return self._fail(f"asked for {name}, got {got}")
+                texts.append(text)
+            if await self._store.offer(tuple(texts), "configuration service"):
+                self.on_change()
+            self._seen.update((text.name, text.revision) for text in texts)
+        self._revision = revision
+        self._failed = False
+        # A service behind a revision that is in force here cannot tell what came after
+        # it. Otherwise, only now is everything that the answer named in force here.
+        if revision >= self._store.latest_revision:
+            self._freshness.confirm(sent_at)
+        return True
+
+    def _fail(self, detail: str) -> bool:
+        self._revision = None
+        if not self._failed:
+            self._failed = True
+            self._log.record(WatchFailed(detail))
+        return False
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/configuration/store.py
@@ -0,0 +1,213 @@
+"""Active documents of this host."""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from celeryferry_core.decisions.fleet import DocumentActivated, DocumentRejected
+from celeryferry_core.mechanisms import Mechanisms
+from celeryferry_core.models.messages import (
+    DocumentsReply,
+    DocumentsRequest,
+    DocumentText,
+)
+from celeryferry_core.models.topology import ServiceDocument
+from celeryferry_core.models.views import (
+    ActiveDocument,
+    ConfigurationView,
+    DocumentVersion,
+)
+from celeryferry_core.ports import DecisionLog
+from celeryferry_core.versions import (
+    compute_digest,
+    list_stamps,
+    select_newer,
+    supersedes,
+)
+from celeryferry_daemon._internal.streams import Streams
+
+Parse = Callable[[str], Result[ServiceDocument, object]]
+
+# Larger texts are parsed in a thread: a document of 1 MB would stop the event loop
+# for long enough to lose leases.
+INLINE_PARSE_CHARACTERS = 16_384
+REPLY_TEXT_BYTES = 2 * 1024 * 1024
+MAX_COVERED_DIGESTS = 256
+MAX_REJECTED = 1024
+
+
+class ConfigurationStore:
+    """Accepts documents in version order and publishes the active ones.
+
+    :param streams: receives the view when it changes.
+    :param parse: checks a document's text.
+    :param log: receiver of decisions.
+    :param mechanisms: switches for tests.
+    """
+
+    def __init__(
+        self, streams: Streams, parse: Parse, log: DecisionLog, mechanisms: Mechanisms
+    ) -> None:
+        self._streams = streams
+        self._parse = parse
+        self._log = log
+        self._mechanisms = mechanisms
+        self._lock = asyncio.Lock()
+        self._active: dict[str, ActiveDocument] = {}
+        self._covered: OrderedDict[str, None] = OrderedDict()
+        self.rejected: dict[str, DocumentRejected] = {}
+        self._publish()
+
+    @property
+    def active(self) -> dict[str, ActiveDocument]:
+        """Active documents by name; not to be changed."""
+        return self._active
+
+    @property
+    def latest_revision(self) -> int:
+        """Highest revision of an active document, 0 without documents."""
+        revisions = (active.version.revision for active in self._active.values())
+        return max(revisions, default=0)
+
+    def holds(self, name: str, revision: int) -> bool:
+        """Tell whether a revision of a document is active here.
+
+        :param name: name of the document.
+        :param revision: revision of the configuration service.
+        """
+        active = self._active.get(name)
+        return active is not None and active.version.revision == revision
+
+    def covers(self, digest: str) -> bool:
+        """Tell whether the active documents are at least as new as a digest's.
+
+        :param digest: digest of a peer.
+        :returns: True if nothing of it is missing here.
+        """
+        return digest in self._covered
+
+    def mark_covered(self, digest: str) -> None:
+        """Record that nothing of a peer's documents is missing here.
+
+        :param digest: digest of the peer.
+        """
+        self._covered[digest] = None
+        self._covered.move_to_end(digest)
+        while len(self._covered) > MAX_COVERED_DIGESTS:
+            self._covered.popitem(last=False)
+
+    def request(self) -> DocumentsRequest:
+        """Return the request that asks a peer for newer documents.
+
+        :returns: stamps of the active documents.
+        """
+        return DocumentsRequest(list_stamps(self._active))
+
+    def answer(self, request: DocumentsRequest) -> DocumentsReply:
+        """Answer a peer that asks for newer documents.
+
+        :param request: stamps of the peer.
+        :returns: what it lacks.
+        """
+        return DocumentsReply(
+            select_newer(self._active, request.known, REPLY_TEXT_BYTES)
+        )
+
+    async def offer(self, texts: tuple[DocumentText, ...], source: str) -> int:
+        """Check documents and activate those that supersede the active ones.
+
+        :param texts: documents as received.
+        :param source: where they come from, for the log.
+        :returns: number of activated documents.
+        """
+        async with self._lock:
+            count = 0
+            for text in texts:
+                count += await self._offer_one(text, source)
+            if count:
+                self._publish()
+            return count
+
+    async def _offer_one(self, text: DocumentText, source: str) -> bool:
+        active = self._active.get(text.name)
+        if active is not None and (active.version.revision, active.text) == (
+            text.revision,
+            text.text,
+        ):
+            return False
+        if len(text.text) > INLINE_PARSE_CHARACTERS:
+            parsed = await asyncio.to_thread(self._parse, text.text)
+        else:
+            parsed = self._parse(text.text)
+        match parsed:
+            case Err(errors):
+                reason = "; ".join(str(error) for error in errors.errors)
+                return self._reject(text, source, reason)
+            case Ok(document) if document.service != text.name:
+                reason = (
+                    f"service: found {document.service!r}; name the document and the "
+                    "service alike"
+                )
+                return self._reject(text, source, reason)
+            case Ok(document):
+                return self._activate(text, document, source)
+        return False
+
+    def _activate(
+        self, text: DocumentText, document: ServiceDocument, source: str
+    ) -> bool:
+        version = DocumentVersion(document.version, text.revision)
+        active = self._active.get(text.name)
+        if active is not None and self._mechanisms.version_order:
+            if version == active.version:
+                return False
+            if not supersedes(version, active.version):
+                return self._refuse_order(text, version, active, source)
+        self._active[text.name] = ActiveDocument(document, version, text.text)
+        rejected = self.rejected.get(text.name)
+        if rejected is not None and rejected.revision <= text.revision:
+            del self.rejected[text.name]
+        self._log.record(
+            DocumentActivated(text.name, version.version, version.revision, source)
+        )
+        return True
+
+    def _refuse_order(
+        self,
+        text: DocumentText,
+        version: DocumentVersion,
+        active: ActiveDocument,
+        source: str,
+    ) -> bool:
+        if text.text == active.text:
+            return False
+        if version.version == active.version.version:
+            reason = (
+                f"version {version.version} is active from revision "
+                f"{active.version.revision}; read the document again and raise version"
+            )
+        else:
+            reason = (
+                f"version {version.version} is older than the active version "
+                f"{active.version.version}; raise version above it"
+            )
+        return self._reject(text, source, reason)
+
+    def _reject(self, text: DocumentText, source: str, reason: str) -> bool:
+        rejected = DocumentRejected(text.name, text.revision, source, reason)
+        known = self.rejected.get(text.name)
+        if known and (known.revision, known.reason) == (text.revision, reason):
+            return False
+        if len(self.rejected) < MAX_REJECTED or text.name in self.rejected:
+            self.rejected[text.name] = rejected
+        self._log.record(rejected)
+        return False
+
+    def _publish(self) -> None:
+        digest = compute_digest(self._active)
+        self.mark_covered(digest)
+        self._streams.configuration.on_next(
+            ConfigurationView(dict(self._active), digest)
+        )
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/front/applications.py
@@ -0,0 +1,152 @@
+"""Plans and states of the applications that a front serves."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from reactivex.abc import DisposableBase
+
+from celeryferry_core.budgets import Budgets
+from celeryferry_core.mechanisms import Mechanisms
+from celeryferry_core.models.views import ConfigurationView, Membership
+from celeryferry_core.plans import ApplicationPlan, build_plan
+from celeryferry_core.routing import Router
+from celeryferry_daemon._internal.streams import Streams
+
+
+@dataclass(slots=True)
+class ApplicationState:
+    """What the front keeps for one application.
+
+    :param name: name of the application.
+    :param budgets: its budgets.
+    :param queried_at: monotonic time of the latest query.
+    :param refreshed_at: monotonic time of the latest moment at which every replica
+        had just been observed or asked for, None before the first.
+    :param asked: upstreams that the latest check of observations asked for.
+    :param incomplete_count: number of queries that waited for one more refresh since a
+        version was last known for every shard.
+    :param early_plan: plan that the early refreshes were made for.
+    :param early_count: number of early refreshes for that plan.
+    """
+
+    name: str
+    budgets: Budgets = field(default_factory=Budgets)
+    queried_at: timedelta = timedelta(0)
+    refreshed_at: timedelta | None = None
+    asked: frozenset[str] = frozenset()
+    incomplete_count: int = 0
+    early_plan: ApplicationPlan | None = None
+    early_count: int = 0
+
+
+class Applications:
+    """Keeps plans until configuration or leaving upstreams change.
+
+    :param streams: streams of the daemon.
+    :param router: knowledge about upstreams and owners.
+    :param mechanisms: switches for tests.
+    :param on_change: called after the plans were dropped; the next use builds them.
+    :ivar membership: latest view of the hosts.
+    """
+
+    __slots__ = (
+        "_mechanisms",
+        "_on_change",
+        "_plans",
+        "_router",
+        "_states",
+        "_streams",
+        "_subscriptions",
+        "_view",
+        "membership",
+    )
+
+    def __init__(
+        self,
+        streams: Streams,
+        router: Router,
+        mechanisms: Mechanisms,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._streams = streams
+        self._router = router
+        self._mechanisms = mechanisms
+        self._on_change = on_change
+        self._plans: dict[str, ApplicationPlan] = {}
+        self._states: dict[str, ApplicationState] = {}
+        self._subscriptions: list[DisposableBase] = []
+        self._view = ConfigurationView()
+        self.membership = Membership()
+
+    def subscribe(self) -> None:
+        """Follow the streams."""
+        self._subscriptions = [
+            self._streams.configuration.subscribe(self._take_view),
+            self._streams.membership.subscribe(self._take_membership),
+        ]
+
+    def unsubscribe(self) -> None:
+        """Stop following the streams."""
+        for subscription in self._subscriptions:
+            subscription.dispose()
+
+    def _take_view(self, view: ConfigurationView) -> None:
+        self._view = view
+        self._plans.clear()
+        documents = [active.document for active in view.documents.values()]
+        names = {document.application for document in documents}
+        for name in self._states.keys() - names:
+            del self._states[name]
+        addresses = frozenset(
+            replica.address
+            for document in documents
+            for shard in document.shards
+            for replica in shard.replicas
+        )
+        self._router.catalog.keep_only(addresses)
+        self._on_change()
+
+    def _take_membership(self, membership: Membership) -> None:
+        before = self.membership.leaving_upstreams
+        self.membership = membership
+        self._router.directory.replace_membership(membership)
+        if membership.leaving_upstreams != before:
+            self._plans.clear()
+            self._on_change()
+
+    def plan_of(self, application: str) -> ApplicationPlan | None:
+        """Return the plan of an application.
+
+        :param application: name of the application.
+        :returns: the plan, or None if no document names the application.
+        """
+        plan = self._plans.get(application)
+        if plan is None:
+            services = self._view.services_of(application)
+            if not services:
+                return None
+            leaving = self.membership.leaving_upstreams
+            plan = build_plan(application, services, leaving, self._mechanisms)
+            self._plans[application] = plan
+        return plan
+
+    def state_of(self, application: str) -> ApplicationState:
+        """Return the state of a known application; the first call creates it.
+
+        :param application: name of the application.
+        """
+        state = self._states.get(application)
+        if state is None:
+            state = ApplicationState(application)
+            self._states[application] = state
+        return state
+
+    def list_names(self) -> set[str]:
+        """Return the names of all applications in the active documents."""
+        documents = self._view.documents.values()
+        return {active.document.application for active in documents}
+
+    def list_states(self) -> tuple[ApplicationState, ...]:
+        """Return the states of all applications that were queried."""
+        return tuple(self._states.values())
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/front/fetcher.py
@@ -0,0 +1,158 @@
+"""Fetches observations of an application from the owners of its upstreams."""
+
+import asyncio
+from collections.abc import Collection
+from datetime import timedelta
+
+from celeryferry_core.exceptions import PeerFailureKind
+from celeryferry_core.models.bounds import MAX_ITEMS
+from celeryferry_core.models.messages import ObservationsRequest
+from celeryferry_core.models.topology import Host
+from celeryferry_core.placement import cell_of_host, cell_of_key, domain_of_key
+from celeryferry_core.plans import ApplicationPlan
+from celeryferry_core.ports import Clock, PeerClient
+from celeryferry_core.routing import Router
+from celeryferry_daemon._internal.front.applications import Applications
+
+REFRESH_TIMEOUT = timedelta(milliseconds=400)
+
+_HOST_LOST = (PeerFailureKind.NOT_SENT, PeerFailureKind.CONNECTION_LOST)
+
+
+class ObservationFetcher:
+    """Asks owners for observations, and other hosts for keys whose owner is not known.
+
+    :param applications: tells the present view of the hosts.
+    :param router: takes the observations and what was learned about owners.
+    :param peers: client side of the interface between daemons.
+    :param clock: source of time.
+    """
+
+    __slots__ = ("_applications", "_clock", "_peers", "_router")
+
+    def __init__(
+        self,
+        applications: Applications,
+        router: Router,
+        peers: PeerClient,
+        clock: Clock,
+    ) -> None:
+        self._applications = applications
+        self._router = router
+        self._peers = peers
+        self._clock = clock
+
+    async def fetch(self, plan: ApplicationPlan, wanted: frozenset[str] | None) -> None:
+        """Fetch and record observations.
+
+        :param plan: plan of the application.
+        :param wanted: upstreams of interest, None for all.
+        """
+        keys = [
+            key
+            for key, addresses in plan.addresses_of.items()
+            if wanted is None or not wanted.isdisjoint(addresses)
+        ]
+        owners = self._group_by_owner(keys)
+        requests = [
+            (owner, _list_wanted(plan, owned, wanted))
+            for owner, owned in owners.values()
+        ]
+        held = await self._ask(plan, requests)
+        missing = [key for key in keys if key not in held]
+        if missing:
+            addresses = _list_wanted(plan, missing, wanted)
+            others = self._list_other_candidates(missing, owners.keys())
+            await self._ask(plan, [(host, addresses) for host in others])
+
+    def _group_by_owner(self, keys: list[str]) -> dict[str, tuple[Host, list[str]]]:
+        """Return the likely owners by host id, each with its keys.
+
+        :param keys: ownership keys; those without an owner are left out.
+        """
+        now = self._clock.monotonic()
+        owners: dict[str, tuple[Host, list[str]]] = {}
+        for key in keys:
+            owner = self._router.directory.find_owner(key, now)
+            if owner is not None:
+                owners.setdefault(owner.host_id, (owner, []))[1].append(key)
+        return owners
+
+    def _list_other_candidates(
+        self, keys: list[str], asked: Collection[str]
+    ) -> list[Host]:
+        """Return the live hosts that may hold keys and were not asked.
+
+        :param keys: ownership keys that no asked host holds.
+        :param asked: ids of the hosts that were asked.
+        """
+        membership = self._applications.membership
+        hosts = membership.hosts.values()
+        others: dict[str, Host] = {}
+        for key in keys:
+            domain = domain_of_key(key)
+            in_domain = [host for host in hosts if host.failure_domain == domain]
+            cell = cell_of_key(key, len(in_domain))
+            for host in in_domain:
+                is_live = host.host_id in membership.live
+                if host.host_id in asked or not is_live:
+                    continue
+                if cell_of_host(host, len(in_domain)) == cell:
+                    others[host.host_id] = host
+        return list(others.values())
+
+    async def _ask(
+        self, plan: ApplicationPlan, requests: list[tuple[Host, tuple[str, ...]]]
+    ) -> set[str]:
+        """Ask hosts at the same time and take over their observations.
+
+        :param plan: plan of the application.
+        :param requests: hosts with the upstreams to name, none of which asks for all.
+        :returns: ownership keys that the hosts hold.
+        """
+        calls = (self._ask_host(plan, host, addresses) for host, addresses in requests)
+        held = await asyncio.gather(*calls)
+        return {key for keys in held for key in keys}
+
+    async def _ask_host(
+        self, plan: ApplicationPlan, host: Host, addresses: tuple[str, ...]
+    ) -> tuple[str, ...]:
+        request = ObservationsRequest(plan.application, addresses)
+        result = await self._peers.fetch_observations(host, request, REFRESH_TIMEOUT)
+        if result.is_err():
+            if result.unwrap_err().kind in _HOST_LOST:
+                now = self._clock.monotonic()
+                self._router.directory.mark_unreachable(host.host_id, now)
+            return ()
+        reply = result.unwrap()
+        for observation in reply.observations:
+            if observation.address in plan.addresses:
+                self._router.catalog.record(observation)
+        self._learn_owner(plan, host, reply.keys)
+        return reply.keys
+
+    def _learn_owner(
+        self, plan: ApplicationPlan, host: Host, keys: tuple[str, ...]
+    ) -> None:
+        now = self._clock.monotonic()
+        directory = self._router.directory
+        for key in set(keys).intersection(plan.keys):
+            owner = directory.find_owner(key, now)
+            if owner is None or owner.host_id != host.host_id:
+                directory.record_redirect(key, host.host_id, now)
+
+
+def _list_wanted(
+    plan: ApplicationPlan, keys: list[str], wanted: frozenset[str] | None
+) -> tuple[str, ...]:
+    """List the upstreams to name in a request.
+
+    :param plan: plan of the application.
+    :param keys: ownership keys that the asked host may hold.
+    :param wanted: upstreams of interest, None for all.
+    :returns: their addresses; empty, which asks for all, if all are wanted.
+    """
+    if wanted is None or wanted == plan.addresses:
+        return ()
+    some = frozenset().union(*(plan.addresses_of[key] & wanted for key in keys))
+    return tuple(some) if len(some) <= MAX_ITEMS else ()
