--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/front/query.py
@@ -0,0 +1,224 @@
+"""Runs one search session: its batches, its timer and its refresh."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import aclosing
+from datetime import timedelta
+
+from celeryferry_core.exceptions import PeerFailure, PeerFailureKind
+from celeryferry_core.models.callers import ErrorBody, SearchAnswer, SearchRequest
+from celeryferry_core.plans import ApplicationPlan
+from celeryferry_core.ports import Clock, DecisionLog, PeerClient
+from celeryferry_core.search import SearchSession
+from celeryferry_core.search_events import (
+    Action,
+    BatchFailed,
+    CallerGone,
+    CancelBatch,
+    Event,
+    Finish,
+    ObservationsRefreshed,
+    PartialReceived,
+    PlanReplaced,
+    Record,
+    RefreshObservations,
+    SendBatch,
+    SessionRequest,
+    SetTimer,
+    TimerFired,
+)
+
+# Key of the refresh among the tasks; ids of batches start at 1.
+_REFRESH_TASK_ID = 0
+
+
+def make_session_request(
+    search: SearchRequest,
+    query_id: str,
+    started: timedelta,
+    deadline: timedelta,
+    clock: Clock,
+) -> SessionRequest:
+    """Return what a session has to know about a search.
+
+    :param search: request of the caller.
+    :param query_id: id of the query.
+    :param started: monotonic time at which it arrived.
+    :param deadline: monotonic time at which it ends.
+    :param clock: source of time.
+    """
+    wall = clock.wall() + (deadline - clock.monotonic())
+    return SessionRequest(
+        query_id=query_id,
+        query=search.query,
+        limit=search.limit,
+        started=started,
+        deadline=deadline,
+        deadline_unix_ms=int(wall.timestamp() * 1000),
+    )
+
+
+def limit_duration(search: SearchRequest, plan: ApplicationPlan) -> timedelta:
+    """Return the shorter of the caller's deadline and that of the documents.
+
+    :param search: request of the caller.
+    :param plan: plan of the application.
+    """
+    deadline_ms = min(search.deadline_ms or plan.deadline_ms, plan.deadline_ms)
+    return timedelta(milliseconds=deadline_ms)
+
+
+class QueryRun:
+    """Carries out the actions of a session and passes events to it.
+
+    Events reach the session directly in the event loop, without a queue, because the
+    session does no I/O and never waits.
+
+    :param session: the session.
+    :param peers: client side of the interface between daemons.
+    :param clock: source of time.
+    :param log: receiver of decisions.
+    :param refresh: refreshes the observations of the application.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_ending",
+        "_log",
+        "_outcome",
+        "_peers",
+        "_refresh",
+        "_session",
+        "_tasks",
+        "_timer",
+    )
+
+    def __init__(
+        self,
+        session: SearchSession,
+        peers: PeerClient,
+        clock: Clock,
+        log: DecisionLog,
+        refresh: Callable[[], Awaitable[None]],
+    ) -> None:
+        self._session = session
+        self._peers = peers
+        self._clock = clock
+        self._log = log
+        self._refresh = refresh
+        self._tasks: dict[int, asyncio.Task[None]] = {}
+        # References keep these tasks alive; asyncio itself holds only weak ones.
+        self._ending: set[asyncio.Task[None] | None] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._outcome: asyncio.Future[SearchAnswer | ErrorBody | None]
+        self._outcome = asyncio.get_running_loop().create_future()
+
+    async def run(self) -> SearchAnswer | ErrorBody | None:
+        """Run the session to its end.
+
+        :returns: the outcome, or None if the caller is gone.
+        """
+        try:
+            self._carry_out(self._session.start(self._clock.monotonic()))
+            return await self._outcome
+        finally:
+            self.abandon()
+            self._stop()
+
+    def replace_plan(self, plan: ApplicationPlan) -> None:
+        """Let hedges and retries follow a change of the configuration.
+
+        :param plan: new plan of the application.
+        """
+        self._take(PlanReplaced(plan))
+
+    def abandon(self) -> None:
+        """Cancel the query and its batches, as for a caller that is gone.
+
+        A query that has ended is left alone.
+        """
+        self._take(CallerGone())
+        if not self._outcome.done():
+            self._outcome.set_result(None)
+
+    def _take(self, event: Event) -> None:
+        try:
+            self._carry_out(self._session.handle(event, self._clock.monotonic()))
+        except Exception as error:
+            self._fail(error)
+
+    def _fail(self, error: Exception) -> None:
+        if not self._outcome.done():
+            self._outcome.set_exception(error)
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Record(decision):
+                    self._log.record(decision)
+                case SendBatch(batch_id=batch_id):
+                    self._tasks[batch_id] = asyncio.create_task(self._send(action))
+                case CancelBatch(batch_id):
+                    task = self._tasks.pop(batch_id, None)
+                    # A task that is handling its own line sees that it is gone.
+                    if task is not None and task is not asyncio.current_task():
+                        task.cancel()
+                case SetTimer(at):
+                    self._set_timer(at)
+                case RefreshObservations():
+                    self._tasks[_REFRESH_TASK_ID] = asyncio.create_task(
+                        self._refresh_once()
+                    )
+                case Finish(outcome):
+                    if not self._outcome.done():
+                        self._outcome.set_result(outcome)
+
+    def _set_timer(self, at: timedelta) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        delay_s = max(0.0, (at - self._clock.monotonic()).total_seconds())
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_s, self._take, TimerFired())
+
+    async def _refresh_once(self) -> None:
+        await self._refresh()
+        self._take(ObservationsRefreshed())
+
+    async def _send(self, action: SendBatch) -> None:
+        failure = PeerFailure(
+            PeerFailureKind.BAD_ANSWER,
+            action.host.host_id,
+            "the stream ended without its final line",
+        )
+        try:
+            failure = await self._read(action) or failure
+        except Exception as error:
+            self._fail(error)
+            return
+        # The session ignores the failure if it has taken the final line.
+        self._take(BatchFailed(action.batch_id, failure))
+        self._tasks.pop(action.batch_id, None)
+
+    async def _read(self, action: SendBatch) -> PeerFailure | None:
+        batch_id = action.batch_id
+        lines = self._peers.send_subqueries(action.host, action.batch, action.timeout)
+        async with aclosing(lines):
+            async for line in lines:
+                if line.is_err():
+                    return line.unwrap_err()
+                answer = line.unwrap()
+                if answer.final:
+                    # Reads on to the end of the stream, so that the connection can be
+                    # used again; the end of the query does not cancel it any more.
+                    self._ending.add(self._tasks.pop(batch_id, None))
+                self._take(PartialReceived(batch_id, answer))
+                if not answer.final and batch_id not in self._tasks:
+                    return None
+        return None
+
+    def _stop(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        for task in self._tasks.values():
+            task.cancel()
+        self._tasks.clear()
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts, liveness and leases."""
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/membership/keeper.py
@@ -0,0 +1,234 @@
+"""Leases of this process, as witness and as holder."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from celeryferry_core.decisions.fleet import (
+    GrantsConflict,
+    KeysHeld,
+    KeysReleased,
+)
+from celeryferry_core.leases import (
+    PROBE_INTERVAL,
+    LeaseHolder,
+    LeaseReply,
+    LeaseRequest,
+    LeaseSender,
+    LeaseWitness,
+)
+from celeryferry_core.models.views import ConfigurationView, HeldKeys, Membership
+from celeryferry_core.placement import (
+    cell_of_key,
+    domain_of_cell,
+    group_of,
+    key_of,
+    rank_owners,
+)
+from celeryferry_core.ports import Clock, DecisionLog, RandomSource
+from celeryferry_daemon._internal.streams import Streams
+
+
+def list_keys(view: ConfigurationView, failure_domain: str) -> frozenset[str]:
+    """List the ownership keys of a failure domain.
+
+    :param view: active documents.
+    :param failure_domain: failure domain of the upstreams.
+    :returns: the keys.
+    """
+    keys = set()
+    for application in {a.document.application for a in view.documents.values()}:
+        services = view.services_of(application)
+        for document in services:
+            for shard in document.shards:
+                if any(r.failure_domain == failure_domain for r in shard.replicas):
+                    group = group_of(document.service, shard)
+                    keys.add(key_of(application, group, failure_domain))
+    return frozenset(keys)
+
+
+class LeaseKeeper:
+    """Implements ``ports.Leases`` and decides which keys this host should hold.
+
+    :param sender: identity of this process.
+    :param streams: receives the held keys when they change.
+    :param clock: source of time.
+    :param random: source of the delay after a conflict.
+    :param log: receiver of decisions.
+    :param check_pause: called with the present time before leases are read or
+        counted; it drops them if the process was paused.
+    :ivar in_flight: returns the number of requests in flight on a key; the daemon
+        sets it once it has an owner role.
+    """
+
+    def __init__(
+        self,
+        sender: LeaseSender,
+        streams: Streams,
+        clock: Clock,
+        random: RandomSource,
+        log: DecisionLog,
+        check_pause: Callable[[timedelta], bool] = lambda now: False,
+    ) -> None:
+        self._sender = sender
+        self._streams = streams
+        self._clock = clock
+        self._log = log
+        self._witness = LeaseWitness(clock.monotonic())
+        self._holder = LeaseHolder(
+            sender.host_id, lambda: PROBE_INTERVAL * (0.5 + 1.5 * random.random())
+        )
+        self._published: frozenset[str] = frozenset()
+        # Both choices are kept, because every round of probes asks for them.
+        self._domain_keys: frozenset[str] = frozenset()
+        self._domain_keys_digest: str | None = None
+        self._chosen: frozenset[str] = frozenset()
+        self._chosen_for: tuple | None = None
+        self._check_pause = check_pause
+        self.in_flight: Callable[[str], int] = lambda key: 0
+
+    def expires_at(self, key: str) -> timedelta | None:
+        """Return the monotonic time at which the lease on a key ends.
+
+        :param key: ownership key.
+        :returns: the end, or None if no new work may start on the key.
+        """
+        now = self._clock.monotonic()
+        self._check_pause(now)
+        return self._holder.expires_at(key, now)
+
+    def holder_of(self, key: str) -> str | None:
+        """Return the host that holds a key as far as this host knows.
+
+        :param key: ownership key.
+        :returns: host id, or None.
+        """
+        now = self._clock.monotonic()
+        if self._holder.expires_at(key, now) is not None:
+            return self._sender.host_id
+        return self._witness.holder_of(key, now) or self._holder.holder_of(key)
+
+    def held_keys(self) -> frozenset[str]:
+        """Return the held keys.
+
+        :returns: keys on which new work may start.
+        """
+        return self._holder.held_keys(self._clock.monotonic())
+
+    def has_grants(self) -> bool:
+        """Tell whether any key still has to be released.
+
+        :returns: True while a key is held or being handed over.
+        """
+        return self._holder.has_grants()
+
+    def drop_all(self) -> None:
+        """Drop all leases, because they may have expired during a pause."""
+        self._holder.drop_all()
+        self.publish()
+
+    def choose_keys(
+        self,
+        view: ConfigurationView,
+        membership: Membership,
+        cell: frozenset[str],
+        domain_count: int,
+        cell_name: str,
+    ) -> frozenset[str]:
+        """Return the keys for which this host ranks first.
+
+        :param view: active documents.
+        :param membership: hosts with their liveness.
+        :param cell: listed hosts of this host's cell.
+        :param domain_count: listed hosts of this host's failure domain.
+        :param cell_name: name of the cell.
+        :returns: the keys.
+        """
+        candidates = (cell & membership.live) - membership.leaving
+        if self._sender.host_id not in candidates:
+            return frozenset()
+        chosen_for = (view.digest, cell, candidates, domain_count, cell_name)
+        if chosen_for != self._chosen_for:
+            self._chosen_for = chosen_for
+            self._chosen = frozenset(
+                key
+                for key in self._list_domain_keys(view, domain_of_cell(cell_name))
+                if cell_of_key(key, domain_count) == cell_name
+                and _choose_owner(key, cell, candidates) == self._sender.host_id
+            )
+        return self._chosen
+
+    def _list_domain_keys(
+        self, view: ConfigurationView, failure_domain: str
+    ) -> frozenset[str]:
+        """Return the keys of this host's failure domain, listed once per view.
+
+        :param view: active documents.
+        :param failure_domain: failure domain of this host.
+        """
+        if view.digest != self._domain_keys_digest:
+            self._domain_keys = list_keys(view, failure_domain)
+            self._domain_keys_digest = view.digest
+        return self._domain_keys
+
+    def prepare(
+        self, cell: frozenset[str], keys: frozenset[str], now: timedelta
+    ) -> tuple[LeaseRequest, bool]:
+        """Build the lease part of the next probes and ask the own witness.
+
+        :param cell: listed hosts of this host's cell.
+        :param keys: keys that this host should hold.
+        :param now: present monotonic time.
+        :returns: the request, and True if keys were released.
+        """
+        self._holder.replace_witnesses(cell, now)
+        released = self._holder.hand_over(keys, self.in_flight, now)
+        if released:
+            self._log.record(KeysReleased(released))
+        request = self._holder.prepare(keys, now)
+        if self._sender.host_id in cell:
+            reply = self._witness.decide(self._sender, request, now)
+            self.record(self._sender.host_id, request.sequence, now, reply)
+        return request, bool(released)
+
+    def answer(self, sender: LeaseSender, request: LeaseRequest) -> LeaseReply:
+        """Answer another host as witness.
+
+        :param sender: process that asks.
+        :param request: what it asks.
+        :returns: the grants.
+        """
+        return self._witness.decide(sender, request, self._clock.monotonic())
+
+    def record(
+        self, witness: str, sequence: int, sent_at: timedelta, reply: LeaseReply
+    ) -> None:
+        """Count the answer of a witness.
+
+        :param witness: host that answered.
+        :param sequence: number of the probe.
+        :param sent_at: time just before the probe was sent.
+        :param reply: the answer.
+        """
+        now = self._clock.monotonic()
+        self._check_pause(now)
+        conflicts = self._holder.record(witness, sequence, sent_at, reply, now)
+        if conflicts:
+            self._log.record(GrantsConflict(conflicts, witness))
+        self.publish()
+
+    def publish(self) -> None:
+        """Publish the held keys if they changed."""
+        held = self.held_keys()
+        if held == self._published:
+            return
+        acquired = tuple(sorted(held - self._published))
+        lost = tuple(sorted(self._published - held))
+        self._published = held
+        self._log.record(KeysHeld(acquired, lost))
+        self._streams.held_keys.on_next(HeldKeys(held))
+
+
+def _choose_owner(key: str, cell: frozenset[str], candidates: frozenset[str]) -> str:
+    """Return the best ranked candidate; the same rule as ``OwnerDirectory``'s."""
+    ranked = rank_owners(key, cell)
+    return next(host_id for host_id in ranked if host_id in candidates)
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/membership/prober.py
@@ -0,0 +1,260 @@
+"""Heartbeats between hosts: liveness, leases, digests and gossip."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+from aioprometheus import Counter
+from result import Err, Ok
+
+from celeryferry_core.decisions.fleet import FreshnessChanged, MembershipChanged
+from celeryferry_core.freshness import Freshness
+from celeryferry_core.lease_messages import MIN_ROUND_GAP
+from celeryferry_core.leases import (
+    PROBE_INTERVAL,
+    LeaseReply,
+    LeaseRequest,
+    LeaseSender,
+)
+from celeryferry_core.membership import MembershipTable
+from celeryferry_core.models.messages import SAME_DIGEST, ProbeReply, ProbeRequest
+from celeryferry_core.models.topology import Host
+from celeryferry_core.models.views import Membership
+from celeryferry_core.placement import domain_of_cell
+from celeryferry_core.ports import Clock, DecisionLog, PeerClient, RandomSource
+from celeryferry_daemon._internal.membership.host_list import HostList
+from celeryferry_daemon._internal.membership.keeper import LeaseKeeper
+from celeryferry_daemon._internal.membership.probe_messages import ProbeMessages
+from celeryferry_daemon._internal.streams import Streams
+from celeryferry_daemon._internal.tasks import TaskSet
+
+PROBE_TIMEOUT = timedelta(seconds=1)
+
+# Bounds the unanswered probes, on average over the hosts and one more: a peer that does
+# not answer must not pile up tasks.
+MAX_PROBES_PER_HOST = 4
+
+
+class Prober:
+    """Sends and answers probes; owns liveness, leases and freshness.
+
+    :param sender: identity of this process.
+    :param table: membership of this host.
+    :param keeper: leases of this host.
+    :param freshness: freshness of this host.
+    :param streams: receives membership when it changes.
+    :param peers: client of other daemons.
+    :param clock: source of time.
+    :param random: source of the choice among hosts and summaries of other cells.
+    :param log: receiver of decisions.
+    :param probes: counts probes by result.
+    :param check_pause: called with the present time before a reply is counted; it
+        makes this host forget what it observed if the process was paused.
+    :ivar on_digest: called with a host and the digest of its documents; returns
+        whether nothing of them is missing here.
+    """
+
+    def __init__(
+        self,
+        sender: LeaseSender,
+        table: MembershipTable,
+        keeper: LeaseKeeper,
+        freshness: Freshness,
+        streams: Streams,
+        peers: PeerClient,
+        clock: Clock,
+        random: RandomSource,
+        log: DecisionLog,
+        probes: Counter,
+        check_pause: Callable[[timedelta], bool] = lambda now: False,
+    ) -> None:
+        self._sender = sender
+        self._table = table
+        self._keeper = keeper
+        self._freshness = freshness
+        self._streams = streams
+        self._peers = peers
+        self._clock = clock
+        self._random = random
+        self._log = log
+        self._probes = probes
+        self._check_pause = check_pause
+        self._messages = ProbeMessages(sender, table, freshness, streams, random)
+        self._tasks = TaskSet()
+        self._kick = asyncio.Event()
+        self._was_fresh: bool | None = None
+        self.on_digest: Callable[[Host, str], bool] = lambda host, digest: False
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        try:
+            while True:
+                self.probe_all()
+                await asyncio.sleep(MIN_ROUND_GAP.total_seconds())
+                rest = (PROBE_INTERVAL - MIN_ROUND_GAP).total_seconds()
+                try:
+                    async with asyncio.timeout(rest):
+                        await self._kick.wait()
+                except TimeoutError:
+                    pass
+                self._kick.clear()
+        finally:
+            await self._tasks.stop()
+
+    def kick(self) -> None:
+        """Start the next round now, to spread a change."""
+        self._kick.set()
+
+    def replace_list(self, hosts: HostList) -> None:
+        """Take over a host list.
+
+        :param hosts: list as read.
+        """
+        listed = hosts.to_hosts()
+        new = listed.keys() - self._table.hosts.keys()
+        self._table.replace_list(listed, frozenset(hosts.leaving_upstreams))
+        self.refresh()
+        if new:
+            self.kick()
+
+    def refresh(self) -> None:
+        """Publish membership and recompute freshness after a change."""
+        now = self._clock.monotonic()
+        self._update_freshness(now)
+        membership = self._table.build(now)
+        if membership == self._streams.membership.value:
+            return
+        self._log.record(
+            MembershipChanged(
+                len(membership.hosts),
+                tuple(sorted(membership.hosts.keys() - membership.live)),
+                tuple(sorted(membership.leaving)),
+                tuple(sorted(membership.leaving_upstreams)),
+            )
+        )
+        self._streams.membership.on_next(membership)
+
+    def resume(self, now: timedelta) -> None:
+        """Forget what was observed before a pause and probe at once.
+
+        :param now: time at which the process resumed.
+        """
+        self._table.forget_observations()
+        self._freshness.reset(now)
+        self.kick()
+
+    def probe_all(self) -> None:
+        """Start one round of probes."""
+        now = self._clock.monotonic()
+        self._check_pause(now)
+        self.refresh()
+        table = self._table
+        cell_name = table.own_cell
+        cell = table.members(cell_name)
+        membership: Membership = self._streams.membership.value
+        domain_count = table.count_domain(domain_of_cell(cell_name))
+        keys = self._keeper.choose_keys(
+            self._streams.configuration.value, membership, cell, domain_count, cell_name
+        )
+        if 2 * table.count_answering(now) <= len(cell):
+            # Without a majority no lease can be held, and partial grants would keep
+            # other hosts from their leases.
+            keys = frozenset()
+        request, released = self._keeper.prepare(cell, keys, now)
+        self._spawn_probes(cell, request)
+        self._keeper.publish()
+        if released:
+            self.kick()
+
+    def answer(self, request: ProbeRequest) -> ProbeReply:
+        """Answer the probe of another host.
+
+        Ages in a request are not taken over: the request may have waited in a socket
+        buffer for any time while this process was paused. A planned stop is, because
+        it is never taken back.
+
+        :param request: the probe.
+        :returns: the reply.
+        """
+        sender = LeaseSender(request.host_id, request.incarnation)
+        leases = LeaseRequest(request.sequence, request.wanted, request.released)
+        reply = self._keeper.answer(sender, leases)
+        host = self._table.hosts.get(request.host_id)
+        if host is not None:
+            self.on_digest(host, request.config_digest)
+            if request.leaving and self._table.record_leaving(host.host_id):
+                self.refresh()
+                self.kick()
+        return self._messages.make_reply(request, reply, self._clock.monotonic())
+
+    def _spawn_probes(self, cell: frozenset[str], request: LeaseRequest) -> None:
+        """Probe every other host of the cell, and one host of another cell for gossip.
+
+        :param cell: listed hosts of this host's cell.
+        :param request: lease part of the probes within the cell.
+        """
+        hosts = self._table.hosts
+        for host_id in sorted(cell - {self._sender.host_id}):
+            self._spawn_probe(hosts[host_id], request)
+        others = sorted(hosts.keys() - cell - {self._sender.host_id})
+        if others:
+            chosen = others[self._random.randrange(len(others))]
+            self._spawn_probe(hosts[chosen], LeaseRequest(request.sequence))
+
+    def _spawn_probe(self, host: Host, leases: LeaseRequest) -> None:
+        if len(self._tasks) < MAX_PROBES_PER_HOST * (len(self._table.hosts) + 1):
+            self._tasks.spawn(self._probe(host, leases), f"probe {host.host_id}")
+
+    async def _probe(self, host: Host, leases: LeaseRequest) -> None:
+        sent_at = self._clock.monotonic()
+        request = self._messages.make_request(leases)
+        answer = await self._peers.probe(host, request, PROBE_TIMEOUT)
+        match answer:
+            case Ok(reply) if reply.host_id == host.host_id:
+                self._probes.inc({"result": "answered"})
+                self._take_reply(host, request, sent_at, reply)
+            case Ok(_):
+                self._probes.inc({"result": "wrong_host"})
+            case Err(failure):
+                self._probes.inc({"result": failure.kind.value})
+
+    def _take_reply(
+        self, host: Host, request: ProbeRequest, sent_at: timedelta, reply: ProbeReply
+    ) -> None:
+        self._check_pause(self._clock.monotonic())
+        table = self._table
+        digest = reply.config_digest
+        if digest == SAME_DIGEST:
+            digest = request.config_digest
+        serving = digest != ""
+        is_up_to_date = self.on_digest(host, digest)
+        changed = table.record_answer(
+            host.host_id, sent_at, reply.leaving, serving, is_up_to_date
+        )
+        for summary in reply.cells:
+            changed |= table.record_summary(summary, sent_at)
+        if is_up_to_date and reply.service_age_ms is not None:
+            age = timedelta(milliseconds=reply.service_age_ms)
+            self._freshness.confirm(sent_at, age)
+        grants = LeaseReply(reply.granted, reply.refused)
+        self._keeper.record(host.host_id, request.sequence, sent_at, grants)
+        if changed:
+            self.refresh()
+        else:
+            self._update_freshness(self._clock.monotonic())
+
+    def _update_freshness(self, now: timedelta) -> None:
+        """Recompute whether a majority is reached, and log a change of freshness.
+
+        :param now: present monotonic time.
+        """
+        reached = self._table.list_reached()
+        if self._table.is_listed:
+            reached.append((now, 1))
+        self._freshness.count_reached(reached, max(1, len(self._table.hosts)))
+        fresh = self._freshness.is_fresh(now)
+        if fresh != self._was_fresh:
+            self._was_fresh = fresh
+            self._log.record(
+                FreshnessChanged(fresh, self._messages.service_age_ms(now))
+            )
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/operator.py
@@ -0,0 +1,57 @@
+"""Endpoints for operators."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from celeryferry_core.models.status import DaemonStatus, DrainAnswer
+from celeryferry_daemon._internal.peers.server import json_response
+
+
+class OperatorDesk:
+    """Status, explanation of routing, and planned stop.
+
+    :param read_status: returns the present status.
+    :param begin_drain: starts a planned stop; calling it again changes nothing.
+    :param explain: returns the routing of an application, None if it is unknown.
+    """
+
+    def __init__(
+        self,
+        read_status: Callable[[], DaemonStatus],
+        begin_drain: Callable[[], None],
+        explain: Callable[[str], Any],
+    ) -> None:
+        self._read_status = read_status
+        self._begin_drain = begin_drain
+        self._explain = explain
+
+    def peer_routes(self) -> list[web.RouteDef]:
+        """Return the routes.
+
+        :returns: route definitions.
+        """
+        return [
+            web.get("/operator/v1/status", self._status),
+            web.get("/operator/v1/explain", self._explanation),
+            web.post("/operator/v1/drain", self._drain),
+        ]
+
+    async def _status(self, request: web.Request) -> web.Response:
+        return json_response(self._read_status())
+
+    async def _explanation(self, request: web.Request) -> web.Response:
+        application = request.query.get("application", "")
+        explanation = self._explain(application)
+        if explanation is None:
+            text = f"no service document names application {application!r}; "
+            raise web.HTTPNotFound(text=f"{text}check the name\n")
+        body = msgspec.json.encode(explanation)
+        return web.Response(body=body, content_type="application/json")
+
+    async def _drain(self, request: web.Request) -> web.Response:
+        self._begin_drain()
+        status = self._read_status()
+        return json_response(DrainAnswer(status.host_id, status.state), 202)
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/owner/catalog.py
@@ -0,0 +1,77 @@
+"""Which upstreams belong to which ownership key."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+
+from celeryferry_core.models.topology import ServiceDocument, UpstreamLimits
+from celeryferry_core.models.views import ConfigurationView
+from celeryferry_core.placement import (
+    group_of,
+    key_of,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class CatalogEntry:
+    """A replica as an owner needs it.
+
+    :param key: ownership key.
+    :param limits: limits of the upstream.
+    :param is_out: whether its failure domain is out of service.
+    """
+
+    key: str
+    limits: UpstreamLimits
+    is_out: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Catalog:
+    """All replicas of the active documents.
+
+    :param replicas: entries by application, service, shard and address.
+    :param by_key: entries of each ownership key by address.
+    """
+
+    replicas: Mapping[tuple[str, str, str, str], CatalogEntry] = field(
+        default_factory=dict
+    )
+    by_key: Mapping[str, Mapping[str, CatalogEntry]] = field(default_factory=dict)
+
+
+def build_catalog(view: ConfigurationView) -> Catalog:
+    """List the replicas of all active documents.
+
+    :param view: active documents.
+    :returns: the catalog.
+    """
+    replicas: dict[tuple[str, str, str, str], CatalogEntry] = {}
+    by_key: dict[str, dict[str, CatalogEntry]] = {}
+    for application in {a.document.application for a in view.documents.values()}:
+        services = view.services_of(application)
+        for document in services:
+            for path, entry in _list_entries(document):
+                replicas[path] = entry
+                by_key.setdefault(entry.key, {})[path[3]] = entry
+    return Catalog(replicas, by_key)
+
+
+def _list_entries(
+    document: ServiceDocument,
+) -> Iterator[tuple[tuple[str, str, str, str], CatalogEntry]]:
+    for shard in document.shards:
+        group = group_of(document.service, shard)
+        for replica in shard.replicas:
+            domain = replica.failure_domain
+            entry = CatalogEntry(
+                key=key_of(document.application, group, domain),
+                limits=document.upstreams,
+                is_out=domain in document.failure_domains_out,
+            )
+            path = (
+                document.application,
+                document.service,
+                shard.name,
+                replica.address,
+            )
+            yield path, entry
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/owner/client.py
@@ -0,0 +1,299 @@
+"""Connections to one upstream."""
+
+import asyncio
+from collections.abc import Callable
+from functools import lru_cache
+
+import aiohttp
+from aiohttp.abc import AbstractStreamWriter
+from yarl import URL
+
+from celeryferry_core.exceptions import CeleryferryError
+from celeryferry_core.mechanisms import Mechanisms
+from celeryferry_core.models.outcomes import NotRun
+from celeryferry_daemon._internal.bodies import SKIPPED_HEADERS, TrackedBody
+from celeryferry_daemon._internal.owner.deadlines import Deadlines
+from celeryferry_daemon._internal.owner.replies import (
+    BAD_ANSWER,
+    LOST,
+    UNREACHABLE,
+    AnswerReader,
+    Expectation,
+    Reply,
+)
+
+# 1 MiB less the envelope that an answer gets on its line to the front, which is
+# bounded to 1 MiB.
+MAX_ANSWER_BYTES = 1_048_576 - 4_096
+MAX_CONNECT_SECONDS = 1.0
+# Part of the remaining time that a new connection may take, so that a connection
+# timeout, which proves that nothing was sent, comes before the request's deadline.
+CONNECT_SHARE = 0.8
+KEEP_ALIVE_SECONDS = 30.0
+HEALTH_CONNECTIONS = 1
+
+
+class _Pool:
+    """A session and the number of requests that use it."""
+
+    __slots__ = ("session", "users")
+
+    def __init__(self, connections: int) -> None:
+        self.users = 0
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=max(1, connections - HEALTH_CONNECTIONS),
+                keepalive_timeout=KEEP_ALIVE_SECONDS,
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=SKIPPED_HEADERS,
+            timeout=aiohttp.ClientTimeout(total=None),
+            auto_decompress=False,
+        )
+
+
+class TooLargeError(CeleryferryError):
+    """An answer exceeds ``MAX_ANSWER_BYTES``."""
+
+
+class _RefusedError(CeleryferryError):
+    """The check before the send forbids it."""
+
+
+class _GuardedBody(TrackedBody):
+    """Body that is checked in the synchronous step that writes the first byte.
+
+    Opening a connection may take long, so what allowed the request may no longer hold
+    once it is open.
+
+    :param content: JSON body.
+    :param check: returns a refusal, or None if the request may be sent.
+    :param sent_unknown: False reports a lost request as not run, for tests.
+    :ivar refusal: refusal by the check.
+    """
+
+    def __init__(
+        self,
+        content: bytes,
+        check: Callable[[], NotRun | None],
+        sent_unknown: bool = True,
+    ) -> None:
+        super().__init__(content)
+        self._check = check
+        self._sent_unknown = sent_unknown
+        self.refusal: NotRun | None = None
+
+    async def write_with_length(
+        self, writer: AbstractStreamWriter, content_length: int | None
+    ) -> None:
+        """Check, then write headers and body.
+
+        :param writer: stream of the connection.
+        :param content_length: largest number of bytes to write.
+        :raises _RefusedError: if the request may no longer be sent.
+        """
+        self.refusal = self._check()
+        if self.refusal is not None:
+            raise _RefusedError
+        await super().write_with_length(writer, content_length)
+
+    @property
+    def lost_reply(self) -> Reply:
+        """Reply to report if the connection fails now."""
+        if self.refusal is not None:
+            return Reply(self.refusal)
+        return LOST if self.is_sent and self._sent_unknown else UNREACHABLE
+
+
+class UpstreamClient:
+    """Connections to one upstream.
+
+    No request is ever repeated: aiohttp repeats only idempotent methods by itself, and
+    redirects, which would repeat a POST, are not followed.
+
+    :param address: ``ip:port`` of the upstream.
+    :param connections: largest number of connections.
+    :param mechanisms: switches for tests.
+    """
+
+    __slots__ = (
+        "_closing",
+        "_connections",
+        "_deadlines",
+        "_mechanisms",
+        "_pool",
+        "_reader",
+        "_urls",
+    )
+
+    def __init__(self, address: str, connections: int, mechanisms: Mechanisms) -> None:
+        self._connections = connections
+        self._mechanisms = mechanisms
+        self._urls = {
+            path: URL(f"http://{address}/{path}")
+            for path in ("search", "run", "health")
+        }
+        self._pool = _Pool(connections)
+        self._closing: set[asyncio.Task] = set()
+        self._deadlines = Deadlines()
+        self._reader = AnswerReader(mechanisms)
+
+    def replace_connections(self, connections: int) -> None:
+        """Take over a changed number of connections, using new ones from now on.
+
+        :param connections: largest number of connections.
+        """
+        if connections != self._connections:
+            self._connections = connections
+            self._retire(self._pool)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        self._deadlines.close()
+        await self._pool.session.close()
+        if self._closing:
+            await asyncio.wait(self._closing)
+
+    async def send(
+        self,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+        expected: Expectation,
+        timeout: float,
+        check: Callable[[], NotRun | None],
+    ) -> Reply:
+        """Send one request. Cancelling the task closes the connection.
+
+        :param path: ``search`` or ``run``.
+        :param body: JSON body.
+        :param headers: headers of the protocol.
+        :param expected: what the answer has to match.
+        :param timeout: time for the request in seconds.
+        :param check: called just before the first byte is written; returns a refusal
+            or None.
+        :returns: outcome and signals.
+        :raises TimeoutError: if the request was sent and no answer came in time.
+        """
+        guarded = _GuardedBody(body, check, self._mechanisms.sent_unknown)
+        pool = self._pool
+        pool.users += 1
+        reply: Reply | None = None
+        task = asyncio.current_task()
+        assert task is not None
+        self._deadlines.add(task, timeout)
+        try:
+            reply = await self._exchange(
+                pool, path, guarded, headers, expected, timeout
+            )
+        except asyncio.CancelledError:
+            # Another cancellation at the same time goes on to the caller.
+            if self._deadlines.remove(task) or task.uncancel():
+                raise
+            if guarded.is_sent:
+                raise TimeoutError from None
+            reply = guarded.lost_reply
+        finally:
+            self._deadlines.remove(task)
+            pool.users -= 1
+            is_bad = reply is not None and reply.is_bad
+            if is_bad and self._mechanisms.connection_retire:
+                self._retire(pool)
+            elif pool is not self._pool and pool.users == 0:
+                self._close_later(pool)
+        return reply
+
+    async def _exchange(
+        self,
+        pool: _Pool,
+        path: str,
+        body: _GuardedBody,
+        headers: dict[str, str],
+        expected: Expectation,
+        timeout: float,
+    ) -> Reply:
+        try:
+            response = await pool.session.post(
+                self._urls[path],
+                data=body,
+                headers=headers,
+                allow_redirects=False,
+                timeout=_bound_connect(timeout),
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return UNREACHABLE
+        except aiohttp.ClientResponseError:
+            return BAD_ANSWER
+        except (aiohttp.ClientError, OSError):
+            return body.lost_reply
+        try:
+            content = await read_bounded(response)
+            return self._reader.read(
+                response.status, response.headers, content, expected
+            )
+        except (aiohttp.ClientPayloadError, TooLargeError):
+            return BAD_ANSWER
+        except (aiohttp.ClientError, OSError):
+            return LOST
+        finally:
+            # Returns a connection whose answer was read to its end to the pool, and
+            # closes any other.
+            if self._mechanisms.connection_close:
+                response.close()
+            else:
+                response.release()
+
+    def _retire(self, pool: _Pool) -> None:
+        """Take a pool out of use, with every idle connection in it.
+
+        aiohttp returns a connection to its pool at the end of the body, before the
+        body can be checked, so the connection of a bad answer cannot be picked out.
+
+        :param pool: pool of the bad answer.
+        """
+        if pool is self._pool:
+            self._pool = _Pool(self._connections)
+        if pool.users == 0:
+            self._close_later(pool)
+
+    def _close_later(self, pool: _Pool) -> None:
+        task = asyncio.get_running_loop().create_task(pool.session.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+
+def _bound_connect(seconds: float) -> aiohttp.ClientTimeout:
+    connect_ms = int(1000 * min(MAX_CONNECT_SECONDS, seconds * CONNECT_SHARE))
+    # aiohttp takes zero for no bound.
+    return _make_timeout(max(1, connect_ms))
+
+
+@lru_cache(maxsize=1000)
+def _make_timeout(connect_ms: int) -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(total=None, sock_connect=connect_ms / 1000)
+
+
+async def read_bounded(response: aiohttp.ClientResponse) -> bytes:
+    """Read a body of at most ``MAX_ANSWER_BYTES``.
+
+    :param response: the response.
+    :returns: whole body.
+    :raises TooLargeError: if it is larger.
+    """
+    if response.content.is_eof():
+        # Most answers are short and arrive together with their headers.
+        body = response.content.read_nowait()
+        if len(body) > MAX_ANSWER_BYTES:
+            raise TooLargeError
+        return body
+    declared = response.content_length
+    if declared is not None and declared > MAX_ANSWER_BYTES:
+        raise TooLargeError
+    chunks = []
+    size = 0
+    async for chunk in response.content.iter_any():
+        size += len(chunk)
+        if size > MAX_ANSWER_BYTES:
+            raise TooLargeError
+        chunks.append(chunk)
+    return b"".join(chunks)
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/owner/deadlines.py
@@ -0,0 +1,58 @@
+"""Deadlines of the requests to one upstream, with one timer for all of them."""
+
+import asyncio
+
+
+class Deadlines:
+    """Cancels tasks whose time is over.
+
+    ``asyncio.timeout`` sets a timer for each request; setting and cancelling it took
+    7 % of the processor time of a request. Here the timer stays set when a request
+    ends, and looks for the next deadline when it fires.
+    """
+
+    __slots__ = ("_ends", "_loop", "_timer")
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._ends: dict[asyncio.Task, float] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    def add(self, task: asyncio.Task, seconds: float) -> None:
+        """Cancel a task after some time unless it is removed before.
+
+        :param task: running task.
+        :param seconds: its time.
+        """
+        end = self._loop.time() + seconds
+        self._ends[task] = end
+        if self._timer is None or end < self._timer.when():
+            self._set_timer(end)
+
+    def remove(self, task: asyncio.Task) -> bool:
+        """Forget a task.
+
+        :param task: the task.
+        :returns: False if its time was over and it was cancelled.
+        """
+        return self._ends.pop(task, None) is not None
+
+    def close(self) -> None:
+        """Cancel the timer."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _set_timer(self, end: float) -> None:
+        self.close()
+        self._timer = self._loop.call_at(end, self._run)
+
+    def _run(self) -> None:
+        self._timer = None
+        now = self._loop.time()
+        for task, end in list(self._ends.items()):
+            if end <= now:
+                del self._ends[task]
+                task.cancel()
+        if self._ends:
+            self._set_timer(min(self._ends.values()))
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/owner/health.py
@@ -0,0 +1,105 @@
+"""Periodic health polls of one upstream."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+import aiohttp
+from yarl import URL
+
+from celeryferry_core.models.outcomes import UpstreamState
+from celeryferry_core.placement import hash_name
+from celeryferry_core.ports import Clock
+from celeryferry_daemon._internal.owner.client import TooLargeError, read_bounded
+from celeryferry_daemon._internal.owner.replies import Health, read_health
+
+HEALTH_INTERVAL = timedelta(milliseconds=500)
+HEALTH_TIMEOUT = timedelta(milliseconds=450)
+HEALTH_CONNECT_SECONDS = 0.4
+# The first poll is early because fronts need the index versions; the spread keeps the
+# workers of a new owner from polling all at once.
+FIRST_POLL_SPREAD = timedelta(milliseconds=50)
+_FAILURES = (aiohttp.ClientError, TimeoutError, OSError, TooLargeError)
+
+
+class HealthClient:
+    """Polls over one connection of its own, which shows restarts of the upstream.
+
+    A restart closes the connection between two polls without the announcement that
+    HTTP has for a planned close. This notices restarts that are quicker than the time
+    between two polls and find no work in flight.
+
+    :param address: ``ip:port`` of the upstream.
+    """
+
+    __slots__ = ("_is_kept", "_opened", "_session", "_url")
+
+    def __init__(self, address: str) -> None:
+        self._url = URL(f"http://{address}/health")
+        self._opened = 0
+        self._is_kept = False
+        trace = aiohttp.TraceConfig()
+        trace.on_connection_create_end.append(self._count_connection)
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=1),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(
+                total=HEALTH_TIMEOUT.total_seconds(),
+                sock_connect=HEALTH_CONNECT_SECONDS,
+            ),
+            trace_configs=[trace],
+            auto_decompress=False,
+        )
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._session.close()
+
+    async def read(self) -> Health | None:
+        """Read the health of the upstream.
+
+        :returns: the answer; state unreachable if no connection could be opened; None
+            if the poll failed in another way, which says nothing about the upstream.
+        """
+        opened, was_kept = self._opened, self._is_kept
+        self._is_kept = False
+        try:
+            async with self._session.get(self._url, allow_redirects=False) as response:
+                content = await read_bounded(response)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return Health(UpstreamState.UNREACHABLE, ())
+        except _FAILURES:
+            return None
+        announced = response.headers.get("Connection", "").lower()
+        self._is_kept = announced != "close"
+        is_restarted = was_kept and self._opened > opened
+        return read_health(content, is_restarted)
+
+    async def _count_connection(self, *_: object) -> None:
+        self._opened += 1
+
+
+async def poll_health(
+    address: str,
+    client: HealthClient,
+    clock: Clock,
+    on_health: Callable[[Health | None, timedelta], None],
+) -> None:
+    """Poll until cancelled.
+
+    :param address: address of the upstream.
+    :param client: its health client.
+    :param clock: source of time.
+    :param on_health: receives each answer, None for a failed poll, and the monotonic
+        time at which the poll was sent.
+    """
+    loop = asyncio.get_running_loop()
+    interval = HEALTH_INTERVAL.total_seconds()
+    phase = hash_name(address) % 100 / 100
+    next_poll = loop.time() + phase * FIRST_POLL_SPREAD.total_seconds()
+    while True:
+        await asyncio.sleep(max(0.0, next_poll - loop.time()))
+        next_poll = max(next_poll, loop.time()) + interval
+        asked_at = clock.monotonic()
+        health = await client.read()
+        on_health(health, asked_at)
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/owner/metrics.py
@@ -0,0 +1,58 @@
+"""Prometheus metrics of the owner role."""
+
+from collections import Counter as Tally
+
+import aioprometheus
+
+
+class OwnerMetrics:
+    """Metrics of all upstreams of this host.
+
+    Workers count in plain dictionaries and publish with their health polls, because
+    a labelled collector is too costly for each subquery.
+
+    :param registry: registry of the daemon.
+    """
+
+    __slots__ = ("_in_flight", "_limit", "_outcomes", "_queued")
+
+    def __init__(self, registry: aioprometheus.Registry) -> None:
+        self._outcomes = aioprometheus.Counter(
+            "celeryferry_owner_requests_total",
+            "Requests to upstreams by outcome.",
+            registry=registry,
+        )
+        self._limit = aioprometheus.Gauge(
+            "celeryferry_owner_limit",
+            "Concurrency limit of an upstream.",
+            registry=registry,
+        )
+        self._queued = aioprometheus.Gauge(
+            "celeryferry_owner_queued",
+            "Requests waiting for an upstream.",
+            registry=registry,
+        )
+        self._in_flight = aioprometheus.Gauge(
+            "celeryferry_owner_in_flight",
+            "Requests sent to an upstream and not finished.",
+            registry=registry,
+        )
+
+    def publish(
+        self, upstream: str, outcomes: Tally[str], limit: int, queued: int, sent: int
+    ) -> None:
+        """Publish the figures of one upstream.
+
+        :param upstream: address of the upstream.
+        :param outcomes: outcomes since the last call; cleared.
+        :param limit: present concurrency limit.
+        :param queued: requests waiting.
+        :param sent: requests in flight.
+        """
+        for outcome, count in outcomes.items():
+            self._outcomes.add({"upstream": upstream, "outcome": outcome}, count)
+        outcomes.clear()
+        labels = {"upstream": upstream}
+        self._limit.set(labels, limit)
+        self._queued.set(labels, queued)
+        self._in_flight.set(labels, sent)
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/owner/owner.py
@@ -0,0 +1,302 @@
+"""Ownership task: the workers of the upstreams that this host owns."""
+
+import asyncio
+import itertools
+from collections.abc import Collection
+from datetime import timedelta
+from functools import partial
+
+import aioprometheus
+import msgspec
+from aiohttp import web
+from reactivex.abc import DisposableBase
+
+from celeryferry_core.decisions.owner import RunAdmitted, WorkRefused
+from celeryferry_core.mechanisms import Mechanisms
+from celeryferry_core.models.messages import (
+    ObservationsReply,
+    RunReply,
+    RunRequest,
+    Subquery,
+    SubqueryBatch,
+)
+from celeryferry_core.models.outcomes import NotRun, NotRunReason, RunOutcome
+from celeryferry_core.models.settings import LimitSettings
+from celeryferry_core.models.topology import Host
+from celeryferry_core.models.views import ConfigurationView, HeldKeys, Membership
+from celeryferry_core.ports import Clock, DecisionLog, FreshnessGate, Leases
+from celeryferry_core.tickets import RunMemory
+from celeryferry_daemon._internal.owner.batches import BatchRun
+from celeryferry_daemon._internal.owner.catalog import Catalog, build_catalog
+from celeryferry_daemon._internal.owner.guard import Assignment, WorkerPorts
+from celeryferry_daemon._internal.owner.metrics import OwnerMetrics
+from celeryferry_daemon._internal.owner.routes import OwnerRoutes
+from celeryferry_daemon._internal.owner.work import RUN, SEARCH, Work, to_monotonic
+from celeryferry_daemon._internal.owner.worker import UpstreamWorker
+from celeryferry_daemon._internal.streams import Streams
+
+REMEMBERED_RUNS = 100_000
+ID_PREFIX_CHARACTERS = 8
+DEFAULT_TICKET_VALIDITY = LimitSettings().ticket_validity
+
+
+class Owner:
+    """Starts and stops workers as leases come and go, and passes work to them.
+
+    :param host: this host.
+    :param streams: streams of the daemon.
+    :param leases: leases of this host.
+    :param gate: tells whether the configuration may be acted on.
+    :param clock: source of time.
+    :param log: receiver of decisions.
+    :param registry: registry for metrics.
+    :param mechanisms: switches for tests.
+    :param incarnation: random id of this process.
+    :param ticket_validity: longest life of a ticket in the fleet; sent tickets are
+        remembered for this time.
+    """
+
+    def __init__(
+        self,
+        host: Host,
+        streams: Streams,
+        leases: Leases,
+        gate: FreshnessGate,
+        clock: Clock,
+        log: DecisionLog,
+        registry: aioprometheus.Registry,
+        mechanisms: Mechanisms,
+        incarnation: str,
+        ticket_validity: timedelta = DEFAULT_TICKET_VALIDITY,
+    ) -> None:
+        self._host = host
+        self._streams = streams
+        self._leases = leases
+        self._clock = clock
+        self._log = log
+        self._ports = WorkerPorts(
+            leases=leases,
+            gate=gate,
+            clock=clock,
+            log=log,
+            metrics=OwnerMetrics(registry),
+            mechanisms=mechanisms,
+            memory=RunMemory(REMEMBERED_RUNS, ticket_validity),
+        )
+        self._catalog = Catalog()
+        self._leaving: frozenset[str] = frozenset()
+        self._held: frozenset[str] = frozenset()
+        self._workers: dict[str, UpstreamWorker] = {}
+        self._closing: set[asyncio.Task] = set()
+        self._subscriptions: list[DisposableBase] = []
+        # An upstream's log then tells which process sent a request, an earlier one of
+        # the same host included.
+        self._id_prefix = incarnation[:ID_PREFIX_CHARACTERS]
+        self._ids = itertools.count()
+        self._shards: dict[str, bytes] = {}
+
+    def peer_routes(self) -> list[web.RouteDef]:
+        """Return the routes for the peer listener.
+
+        The application must be run with ``handler_cancellation=True``: a front that
+        disconnects cancels its batch by the cancellation of the handler.
+        """
+        return OwnerRoutes(self, self._clock).routes()
+
+    async def start(self) -> None:
+        """Follow the streams and start workers."""
+        streams = self._streams
+        self._subscriptions = [
+            streams.configuration.subscribe(self._take_configuration),
+            streams.membership.subscribe(self._take_membership),
+            streams.held_keys.subscribe(self._take_held_keys),
+        ]
+
+    async def stop(self) -> None:
+        """Stop all workers and wait for the work in flight."""
+        for subscription in self._subscriptions:
+            subscription.dispose()
+        workers = list(self._workers.values())
+        await asyncio.gather(*(worker.close() for worker in workers))
+        if self._closing:
+            await asyncio.wait(self._closing)
+        self._workers.clear()
+
+    def in_flight(self, key: str) -> int:
+        """Return how many requests are running under a key.
+
+        :param key: ownership key.
+        :returns: requests sent to upstreams of the key and not finished.
+        """
+        return sum(
+            worker.in_flight for worker in self._workers.values() if worker.key == key
+        )
+
+    def observe(
+        self, application: str, addresses: Collection[str] = ()
+    ) -> ObservationsReply:
+        """Return the state of the owned upstreams of an application.
+
+        :param application: name of the application.
+        :param addresses: upstreams of interest; empty for all.
+        :returns: held keys and observations.
+        """
+        found = (self._workers.get(address) for address in addresses)
+        workers = filter(None, found) if addresses else self._workers.values()
+        prefix = f"{application}/"
+        keys = sorted(key for key in self._held if key.startswith(prefix))
+        observations = tuple(
+            worker.observe()
+            for worker in workers
+            if worker.key in self._held and worker.key.startswith(prefix)
+        )
+        return ObservationsReply(self._host.host_id, tuple(keys), observations)
+
+    def submit_batch(self, batch: SubqueryBatch) -> BatchRun:
+        """Pass the subqueries of a batch to the workers.
+
+        :param batch: the batch.
+        :returns: the running batch.
+        """
+        run = BatchRun(batch)
+        now = self._clock.monotonic()
+        deadline = to_monotonic(batch.deadline_unix_ms, now, self._clock.wall())
+        query = b',"query":' + bytes(batch.query) + b"}"
+        for subquery in batch.subqueries:
+            found = self._find(batch.application, subquery, batch.query_id)
+            if isinstance(found, NotRun):
+                run.deliver(subquery, found)
+                continue
+            work = Work(
+                path=SEARCH,
+                trace_id=batch.query_id,
+                request_id=f"{batch.query_id}.{self._id_prefix}{next(self._ids)}",
+                body=self._encode_shard(subquery.shard) + query,
+                shard=subquery.shard,
+                snapshot=batch.snapshot,
+                deadline_unix_ms=batch.deadline_unix_ms,
+                deadline=deadline,
+                deliver=partial(run.deliver, subquery),
+            )
+            run.submit(found, work)
+        self._log.record(run.summarize())
+        return run
+
+    async def run(self, request: RunRequest) -> RunReply:
+        """Run a non-repeatable request.
+
+        Cancelling the call removes the request only while it is queued.
+
+        :param request: the request.
+        :returns: its outcome.
+        """
+        found = self._find(request.application, request, request.ticket)
+        if isinstance(found, NotRun):
+            return RunReply(request.ticket, found)
+        answer: asyncio.Future[RunOutcome] = asyncio.get_running_loop().create_future()
+        now = self._clock.monotonic()
+        work = Work(
+            path=RUN,
+            trace_id=request.ticket,
+            request_id=request.ticket,
+            body=bytes(request.request),
+            shard=request.shard,
+            snapshot=0,
+            deadline_unix_ms=request.deadline_unix_ms,
+            deadline=to_monotonic(request.deadline_unix_ms, now, self._clock.wall()),
+            deliver=partial(_resolve, answer),
+        )
+        found.submit(work)
+        if not work.is_done:
+            self._log.record(RunAdmitted(request.ticket, request.upstream))
+        try:
+            return RunReply(request.ticket, await answer)
+        finally:
+            found.cancel(work)
+
+    def _find(
+        self, application: str, part: Subquery | RunRequest, trace_id: str
+    ) -> UpstreamWorker | NotRun:
+        path = (application, part.service, part.shard, part.upstream)
+        entry = self._catalog.replicas.get(path)
+        if entry is None:
+            refusal = NotRun(NotRunReason.UNKNOWN_SHARD)
+        else:
+            worker = self._workers.get(part.upstream)
+            if worker is not None and not worker.is_stopped:
+                return worker
+            holder = self._leases.holder_of(entry.key)
+            refusal = NotRun(NotRunReason.NOT_OWNER, holder=holder)
+        self._log.record(
+            WorkRefused(trace_id, part.upstream, refusal.reason, refusal.holder, 0)
+        )
+        return refusal
+
+    def _encode_shard(self, shard: str) -> bytes:
+        encoded = self._shards.get(shard)
+        if encoded is None:
+            encoded = b'{"shard":' + msgspec.json.encode(shard)
+            self._shards[shard] = encoded
+        return encoded
+
+    def _take_configuration(self, view: ConfigurationView) -> None:
+        self._catalog = build_catalog(view)
+        self._shards.clear()
+        self._reconcile()
+
+    def _take_membership(self, membership: Membership) -> None:
+        if membership.leaving_upstreams != self._leaving:
+            self._leaving = membership.leaving_upstreams
+            self._reconcile()
+
+    def _take_held_keys(self, held: HeldKeys) -> None:
+        keys = held.keys
+        if not self._ports.mechanisms.lease_stop:
+            keys |= self._held
+        if keys != self._held:
+            self._held = keys
+            self._reconcile()
+
+    def _reconcile(self) -> None:
+        """Make the workers match documents, host list and held keys."""
+        wanted = self._list_assignments()
+        for address, worker in list(self._workers.items()):
+            if address not in wanted and not worker.is_stopped:
+                worker.stop()
+                self._close_later(worker)
+        for address, assignment in wanted.items():
+            worker = self._workers.get(address)
+            if worker is None:
+                worker = UpstreamWorker(address, assignment, self._ports)
+                self._workers[address] = worker
+            else:
+                worker.assign(assignment)
+
+    def _list_assignments(self) -> dict[str, Assignment]:
+        wanted: dict[str, Assignment] = {}
+        for key in sorted(self._held):
+            for address, entry in self._catalog.by_key.get(key, {}).items():
+                is_leaving = address in self._leaving
+                assignment = Assignment(key, entry.limits, entry.is_out, is_leaving)
+                wanted.setdefault(address, assignment)
+        return wanted
+
+    def _close_later(self, worker: UpstreamWorker) -> None:
+        task = asyncio.get_running_loop().create_task(self._close_idle(worker))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+    async def _close_idle(self, worker: UpstreamWorker) -> None:
+        """Close a stopped worker once it is idle, unless its key has come back.
+
+        :param worker: stopped worker.
+        """
+        await worker.wait_idle()
+        if worker.is_stopped and self._workers.get(worker.address) is worker:
+            del self._workers[worker.address]
+            await worker.close()
+
+
+def _resolve(answer: "asyncio.Future[RunOutcome]", outcome: RunOutcome) -> None:
+    if not answer.done():
+        answer.set_result(outcome)
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/owner/queueing.py
@@ -0,0 +1,123 @@
+"""Queue of one upstream and the timers that look at it again."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from datetime import timedelta
+
+from celeryferry_core.durations import NO_TIME
+from celeryferry_core.limits import UpstreamLimit
+from celeryferry_core.models.outcomes import NotRun
+from celeryferry_daemon._internal.owner.settling import Settler
+from celeryferry_daemon._internal.owner.work import Work
+
+# Deadlines of queued work are checked this often while work is queued.
+SWEEP_INTERVAL = timedelta(milliseconds=25)
+
+
+class WorkQueue:
+    """Work that waits for the limit of its upstream.
+
+    :param limit: limit of the upstream.
+    :param settler: delivers outcomes.
+    :param on_resume: called after a pause of the upstream.
+    :param on_sweep: called every ``SWEEP_INTERVAL`` while work is queued.
+    """
+
+    __slots__ = (
+        "_limit",
+        "_loop",
+        "_on_resume",
+        "_on_sweep",
+        "_resume",
+        "_settler",
+        "_sweep",
+        "_work",
+    )
+
+    def __init__(
+        self,
+        limit: UpstreamLimit,
+        settler: Settler,
+        on_resume: Callable[[], None],
+        on_sweep: Callable[[], None],
+    ) -> None:
+        self._limit = limit
+        self._settler = settler
+        self._on_resume = on_resume
+        self._on_sweep = on_sweep
+        self._work: deque[Work] = deque()
+        self._loop = asyncio.get_running_loop()
+        self._resume: asyncio.TimerHandle | None = None
+        self._sweep: asyncio.TimerHandle | None = None
+
+    def __len__(self) -> int:
+        return len(self._work)
+
+    def append(self, work: Work) -> None:
+        """Add work at the end.
+
+        :param work: the work.
+        """
+        self._work.append(work)
+
+    def take(self) -> Work:
+        """Remove and return the first work."""
+        return self._work.popleft()
+
+    def remove(self, work: Work) -> None:
+        """Remove work whose sender has gone.
+
+        :param work: queued work.
+        """
+        self._work.remove(work)
+
+    def shed(self, now: timedelta, in_flight: int) -> None:
+        """Refuse work that cannot finish in time.
+
+        :param now: present monotonic time.
+        :param in_flight: requests sent and not finished.
+        """
+        waiting, self._work = self._work, deque()
+        for work in waiting:
+            refusal = self._limit.refuse(
+                now, in_flight, len(self._work), work.deadline - now
+            )
+            if refusal is None:
+                self._work.append(work)
+            else:
+                self._settler.settle(work, refusal)
+
+    def refuse_all(self, refusal: NotRun) -> None:
+        """Refuse all work.
+
+        :param refusal: why.
+        """
+        waiting, self._work = self._work, deque()
+        for work in waiting:
+            self._settler.settle(work, refusal)
+
+    def schedule(self, now: timedelta) -> None:
+        """Set the timers that look at the queue again.
+
+        :param now: present monotonic time.
+        """
+        if self._sweep is None:
+            delay = SWEEP_INTERVAL.total_seconds()
+            self._sweep = self._loop.call_later(delay, self._run_sweep)
+        pause = self._limit.status.resume_at - now
+        if pause > NO_TIME:
+            if self._resume is not None:
+                self._resume.cancel()
+            delay = pause.total_seconds()
+            self._resume = self._loop.call_later(delay, self._on_resume)
+
+    def close(self) -> None:
+        """Cancel the timers."""
+        for handle in (self._resume, self._sweep):
+            if handle is not None:
+                handle.cancel()
+
+    def _run_sweep(self) -> None:
+        self._sweep = None
+        self._on_sweep()
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/owner/replies.py
@@ -0,0 +1,278 @@
+"""Answers of the upstream protocol and what they mean."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+
+from celeryferry_core.limits import LimitCause
+from celeryferry_core.mechanisms import Mechanisms
+from celeryferry_core.models.outcomes import (
+    Answered,
+    NotRun,
+    NotRunReason,
+    OutcomeUnknown,
+    RunAnswered,
+    RunOutcome,
+    SearchOutcome,
+    UnknownReason,
+    UpstreamState,
+)
+
+SERVICE_UNAVAILABLE = 503
+CONFLICT = 409
+
+
+class Signal(Enum):
+    """What an answer without a state header says about the upstream."""
+
+    NONE = "none"
+    REFUSED = "refused"
+    LOST = "lost"
+    UNREACHABLE = "unreachable"
+
+
+_REFUSALS = {
+    "cold": (NotRunReason.COLD, LimitCause.COLD),
+    "draining": (NotRunReason.DRAINING, LimitCause.DRAINING),
+    "shedding": (NotRunReason.SHEDDING, LimitCause.SHEDDING),
+    "deadline": (NotRunReason.DEADLINE, None),
+}
+_STATES = {
+    "ready": UpstreamState.READY,
+    "cold": UpstreamState.COLD,
+    "draining": UpstreamState.DRAINING,
+}
+
+
+class _SearchBody(msgspec.Struct):
+    request_id: str
+    shard: str
+    index_version: int
+    hits: msgspec.Raw
+
+
+class _RunBody(msgspec.Struct):
+    request_id: str
+    result: msgspec.Raw
+
+
+class _RefusalBody(msgspec.Struct):
+    request_id: str
+    refused: str
+    index_versions: tuple[int, ...] = ()
+
+
+class _HealthBody(msgspec.Struct):
+    state: str
+    index_versions: tuple[int, ...] = ()
+
+
+_SEARCH_DECODER = msgspec.json.Decoder(_SearchBody)
+_RUN_DECODER = msgspec.json.Decoder(_RunBody)
+_REFUSAL_DECODER = msgspec.json.Decoder(_RefusalBody)
+_HEALTH_DECODER = msgspec.json.Decoder(_HealthBody)
+
+
+@dataclass(frozen=True, slots=True)
+class Expectation:
+    """What an answer has to match.
+
+    :param request_id: id that was sent.
+    :param shard: shard asked, None for a run request.
+    :param index_version: version asked.
+    """
+
+    request_id: str
+    shard: str | None = None
+    index_version: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What came of one request to an upstream.
+
+    :param outcome: outcome to report.
+    :param signal: what it says about the upstream.
+    :param cause: cause of a refusal, if it is a negative signal.
+    :param state: state from the answer's header, None if absent.
+    :param index_versions: versions from the header, None if absent.
+    """
+
+    outcome: SearchOutcome | RunOutcome
+    signal: Signal = Signal.NONE
+    cause: LimitCause | None = None
+    state: UpstreamState | None = None
+    index_versions: tuple[int, ...] | None = None
+
+    @property
+    def is_bad(self) -> bool:
+        """Whether the answer shows that the connection cannot be trusted."""
+        outcome = self.outcome
+        return (
+            type(outcome) is OutcomeUnknown
+            and outcome.reason is UnknownReason.BAD_ANSWER
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Health:
+    """Answer to a health poll.
+
+    :param state: state of the upstream.
+    :param index_versions: versions it holds.
+    :param is_restarted: whether the upstream closed the connection since the last
+        poll without an announcement.
+    """
+
+    state: UpstreamState
+    index_versions: tuple[int, ...]
+    is_restarted: bool = False
+
+
+UNREACHABLE = Reply(NotRun(NotRunReason.UNREACHABLE), Signal.UNREACHABLE)
+LOST = Reply(OutcomeUnknown(UnknownReason.CONNECTION_LOST), Signal.LOST)
+BAD_ANSWER = Reply(OutcomeUnknown(UnknownReason.BAD_ANSWER))
+
+
+class AnswerReader:
+    """Reads the answers of one upstream.
+
+    :param mechanisms: switches for tests.
+    """
+
+    __slots__ = ("_mechanisms", "_versions", "_versions_header")
+
+    def __init__(self, mechanisms: Mechanisms) -> None:
+        self._mechanisms = mechanisms
+        self._versions_header = ""
+        self._versions: tuple[int, ...] = ()
+
+    def read(
+        self,
+        status: int,
+        headers: Mapping[str, str],
+        content: bytes,
+        expected: Expectation,
+    ) -> Reply:
+        """Match an answer with what was asked.
+
+        :param status: HTTP status.
+        :param headers: HTTP headers, case-insensitive.
+        :param content: whole body.
+        :param expected: what the answer has to match.
+        :returns: outcome and signals; a bad answer if anything does not match.
+        """
+        try:
+            return self._read(status, headers, content, expected)
+        except msgspec.MsgspecError:
+            return BAD_ANSWER
+
+    def _read(
+        self,
+        status: int,
+        headers: Mapping[str, str],
+        content: bytes,
+        expected: Expectation,
+    ) -> Reply:
+        match status:
+            case 200 if expected.shard is None:
+                outcome = self._match_run(_RUN_DECODER.decode(content), expected)
+            case 200:
+                outcome = self._match_search(_SEARCH_DECODER.decode(content), expected)
+            case 503 | 409:
+                return self._read_refusal(status, headers, content, expected)
+            case _:
+                outcome = BAD_ANSWER.outcome
+        return Reply(
+            outcome,
+            state=_STATES.get(headers.get("X-Upstream-State", "")),
+            index_versions=self._parse_versions(headers),
+        )
+
+    def _match_search(
+        self, answer: _SearchBody, expected: Expectation
+    ) -> SearchOutcome:
+        is_other = self._mechanisms.answer_match and (
+            answer.request_id != expected.request_id or answer.shard != expected.shard
+        )
+        is_other_version = (
+            self._mechanisms.snapshot_check
+            and answer.index_version != expected.index_version
+        )
+        is_array = memoryview(answer.hits)[:1] == b"["
+        if is_other or is_other_version or not is_array:
+            return BAD_ANSWER.outcome
+        return Answered(answer.index_version, _join_lines(answer.hits))
+
+    def _match_run(self, answer: _RunBody, expected: Expectation) -> RunOutcome:
+        if self._mechanisms.answer_match and answer.request_id != expected.request_id:
+            return BAD_ANSWER.outcome
+        return RunAnswered(_join_lines(answer.result))
+
+    def _read_refusal(
+        self,
+        status: int,
+        headers: Mapping[str, str],
+        content: bytes,
+        expected: Expectation,
+    ) -> Reply:
+        answer = _REFUSAL_DECODER.decode(content)
+        if answer.request_id != expected.request_id:
+            return BAD_ANSWER
+        if status == CONFLICT and answer.refused == "version_gone":
+            versions = answer.index_versions
+            outcome = NotRun(NotRunReason.VERSION_GONE, index_versions=versions)
+            return Reply(outcome, index_versions=versions)
+        known = _REFUSALS.get(answer.refused)
+        if status != SERVICE_UNAVAILABLE or known is None:
+            return BAD_ANSWER
+        reason, cause = known
+        signal = Signal.REFUSED if cause else Signal.NONE
+        return Reply(
+            NotRun(reason), signal, cause, index_versions=self._parse_versions(headers)
+        )
+
+    def _parse_versions(self, headers: Mapping[str, str]) -> tuple[int, ...] | None:
+        header = headers.get("X-Index-Versions")
+        if header is None:
+            return None
+        if header != self._versions_header:
+            try:
+                versions = tuple(int(part) for part in header.split(",") if part)
+            except ValueError:
+                return None
+            self._versions_header = header
+            self._versions = versions
+        return self._versions
+
+
+def _join_lines(raw: msgspec.Raw) -> msgspec.Raw:
+    """Remove line breaks, which end a message on the stream of partial answers.
+
+    In JSON they can only be white space between tokens. The copy lets go of the buffer
+    of the whole answer.
+
+    :param raw: JSON value.
+    :returns: the value without line breaks.
+    """
+    content = bytes(raw)
+    if b"\n" in content or b"\r" in content:
+        content = content.replace(b"\n", b" ").replace(b"\r", b" ")
+    return msgspec.Raw(content)
+
+
+def read_health(content: bytes, is_restarted: bool) -> Health | None:
+    """Decode the answer to a health poll.
+
+    :param content: whole body.
+    :param is_restarted: whether the connection shows a restart.
+    :returns: the answer, None if it is malformed.
+    """
+    try:
+        body = _HEALTH_DECODER.decode(content)
+    except msgspec.MsgspecError:
+        return None
+    state = _STATES.get(body.state)
+    return state and Health(state, body.index_versions, is_restarted)
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/owner/settling.py
@@ -0,0 +1,60 @@
+"""Delivery, logging and counting of outcomes."""
+
+from collections import Counter as Tally
+
+from celeryferry_core.decisions.owner import WorkRefused
+from celeryferry_core.models.outcomes import (
+    NotRun,
+    OutcomeUnknown,
+    RunOutcome,
+    SearchOutcome,
+)
+from celeryferry_core.ports import DecisionLog
+from celeryferry_daemon._internal.owner.work import Work
+
+
+class Settler:
+    """Delivers the outcomes of one upstream's work.
+
+    :param address: address of the upstream.
+    :param log: receiver of decisions.
+    :ivar outcomes: outcomes since they were last published.
+    """
+
+    __slots__ = ("_address", "_log", "outcomes")
+
+    def __init__(self, address: str, log: DecisionLog) -> None:
+        self._address = address
+        self._log = log
+        self.outcomes: Tally[str] = Tally()
+
+    def settle(self, work: Work, outcome: SearchOutcome | RunOutcome) -> None:
+        """Deliver an outcome unless the work is done already.
+
+        :param work: the request.
+        :param outcome: what happened.
+        """
+        if work.is_done:
+            return
+        work.is_done = True
+        match outcome:
+            case NotRun():
+                label = outcome.reason.value
+                self._log_refusal(work, outcome)
+            case OutcomeUnknown():
+                label = outcome.reason.value
+            case _:
+                label = "answered"
+        self.outcomes[label] += 1
+        work.deliver(outcome)
+
+    def _log_refusal(self, work: Work, refusal: NotRun) -> None:
+        self._log.record(
+            WorkRefused(
+                work.trace_id,
+                self._address,
+                refusal.reason,
+                refusal.holder,
+                refusal.retry_after_ms,
+            )
+        )
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/owner/signals.py
@@ -0,0 +1,39 @@
+"""What a finished attempt says about its upstream."""
+
+from datetime import timedelta
+
+from celeryferry_core.limits import LimitCause, LimitChange, UpstreamLimit
+from celeryferry_core.models.outcomes import NotRun, OutcomeUnknown, UpstreamState
+from celeryferry_daemon._internal.owner.replies import Reply, Signal
+from celeryferry_daemon._internal.owner.work import Work
+
+
+def learn_from(
+    limit: UpstreamLimit, work: Work, reply: Reply | None, now: timedelta
+) -> LimitChange | None:
+    """Pass the signals of an attempt on to the limit.
+
+    :param limit: limit of the upstream.
+    :param work: finished request.
+    :param reply: its reply, None if it was given up.
+    :param now: present monotonic time.
+    :returns: the change of the limit, if any.
+    """
+    elapsed = now - work.started_at
+    if reply is None:
+        return limit.record_unfinished(elapsed)
+    match reply.signal:
+        case Signal.UNREACHABLE:
+            return limit.record_negative(LimitCause.UNREACHABLE, now)
+        case Signal.LOST:
+            return limit.record_negative(LimitCause.RESTARTED, now)
+        case Signal.REFUSED:
+            return limit.record_refusal(reply.cause, now)
+    match reply.state:
+        case UpstreamState.COLD:
+            return limit.record_negative(LimitCause.COLD, now)
+        case UpstreamState.DRAINING:
+            return limit.record_negative(LimitCause.DRAINING, now)
+    if isinstance(reply.outcome, NotRun | OutcomeUnknown):
+        return None
+    return limit.record_success(work.epoch, elapsed)
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/owner/worker.py
@@ -0,0 +1,277 @@
+"""Worker of one upstream: connections, queue, limit and work in flight."""
+
+import asyncio
+from datetime import timedelta
+
+from celeryferry_core.decisions.owner import (
+    LimitChanged,
+    SurplusCancelled,
+    UpstreamAdded,
+    UpstreamRemoved,
+)
+from celeryferry_core.durations import NO_TIME
+from celeryferry_core.limits import LimitCause, LimitChange, UpstreamLimit
+from celeryferry_core.models.messages import UpstreamObservation
+from celeryferry_core.models.outcomes import NotRun, NotRunReason
+from celeryferry_daemon._internal.owner.attempts import read_outcome, send_work
+from celeryferry_daemon._internal.owner.client import UpstreamClient
+from celeryferry_daemon._internal.owner.guard import Assignment, SendGuard, WorkerPorts
+from celeryferry_daemon._internal.owner.health import HealthClient, poll_health
+from celeryferry_daemon._internal.owner.in_flight import WorkInFlight
+from celeryferry_daemon._internal.owner.queueing import WorkQueue
+from celeryferry_daemon._internal.owner.replies import Health, Reply
+from celeryferry_daemon._internal.owner.reporting import UpstreamReporter
+from celeryferry_daemon._internal.owner.settling import Settler
+from celeryferry_daemon._internal.owner.signals import learn_from
+from celeryferry_daemon._internal.owner.work import Work
+
+
+class UpstreamWorker:
+    """Sends work to one upstream within its limit.
+
+    All methods run on the event loop, and there is no suspension point between a check
+    and the send that it allows.
+
+    :param address: ``ip:port`` of the upstream.
+    :param assignment: ownership key and limits.
+    :param ports: what all workers share.
+    """
+
+    def __init__(
+        self, address: str, assignment: Assignment, ports: WorkerPorts
+    ) -> None:
+        self.address = address
+        self._ports = ports
+        self._guard = SendGuard(assignment, ports)
+        self._limit = UpstreamLimit(assignment.limits, ports.mechanisms)
+        self._client = UpstreamClient(
+            address, assignment.limits.connections, ports.mechanisms
+        )
+        self._health = HealthClient(address)
+        self._settler = Settler(address, ports.log)
+        self._queue = WorkQueue(self._limit, self._settler, self.pump, self._sweep)
+        self._in_flight = WorkInFlight()
+        self._reporter = UpstreamReporter(
+            address, self._limit, self._queue, self._in_flight, self._settler, ports
+        )
+        # A new owner does not know of a drain that the previous one has seen, so the
+        # first health poll comes before the first request.
+        self._was_polled = False
+        self._loop = asyncio.get_running_loop()
+        self._task = self._loop.create_task(
+            poll_health(address, self._health, ports.clock, self._note_health)
+        )
+        ports.log.record(UpstreamAdded(address, assignment.key, self._limit.limit))
+
+    @property
+    def key(self) -> str:
+        """Ownership key of the upstream."""
+        return self._guard.assignment.key
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests sent and not finished."""
+        return len(self._in_flight)
+
+    @property
+    def is_stopped(self) -> bool:
+        """Whether the worker takes no more work."""
+        return self._guard.is_stopped
+
+    def assign(self, assignment: Assignment) -> None:
+        """Take over an assignment; a stopped worker resumes.
+
+        A resumed worker starts at the cold limit and still counts the work in flight.
+
+        :param assignment: the new assignment.
+        """
+        before = self._guard.assignment
+        self._guard.assignment = assignment
+        if before.limits != assignment.limits:
+            self._client.replace_connections(assignment.limits.connections)
+            self._note_change(self._limit.replace_limits(assignment.limits))
+        if self._guard.is_stopped:
+            self._guard.is_stopped = False
+            self._note_change(self._limit.restart())
+            self._ports.log.record(
+                UpstreamAdded(self.address, assignment.key, self._limit.limit)
+            )
+        self.pump()
+
+    def submit(self, work: Work) -> None:
+        """Send, queue or refuse a request.
+
+        :param work: the request; its outcome is delivered, perhaps before the return.
+        """
+        now = self._ports.clock.monotonic()
+        limit = self._limit
+        refusal = self._guard.check(now, limit.status.is_draining) or limit.refuse(
+            now, len(self._in_flight), len(self._queue), work.deadline - now
+        )
+        if refusal is not None:
+            self._settler.settle(work, refusal)
+            return
+        self._queue.append(work)
+        self._start_queued(now)
+
+    def cancel(self, work: Work) -> None:
+        """Give up a request whose sender has gone.
+
+        A search in flight is cancelled by closing its connection. A run request that
+        was sent is left alone.
+
+        :param work: the request.
+        """
+        if work.is_done:
+            return
+        if work.task is None:
+            self._queue.remove(work)
+            work.is_done = True
+        elif work.is_search:
+            work.task.cancel()
+
+    def pump(self) -> None:
+        """Send queued work as far as the checks and the limit allow."""
+        if not self._queue:
+            return
+        now = self._ports.clock.monotonic()
+        refusal = self._guard.check(now, self._limit.status.is_draining)
+        if refusal is not None:
+            self._queue.refuse_all(refusal)
+        else:
+            self._start_queued(now)
+
+    def _start_queued(self, now: timedelta) -> None:
+        """Send queued work as far as the limit allows; the guard has just passed.
+
+        The guard is asked again for each request just before its first byte.
+
+        :param now: present monotonic time.
+        """
+        while self._queue:
+            if not self._was_polled or not self._limit.may_start(
+                now, len(self._in_flight)
+            ):
+                self._queue.schedule(now)
+                return
+            self._start(self._queue.take(), now)
+
+    def observe(self) -> UpstreamObservation:
+        """Return what the owner knows about the upstream."""
+        return self._reporter.observe(self._guard.assignment.is_leaving)
+
+    def stop(self) -> None:
+        """Refuse queued work; work in flight finishes."""
+        if self._guard.is_stopped:
+            return
+        self._guard.is_stopped = True
+        self._ports.log.record(
+            UpstreamRemoved(
+                self.address, self.key, len(self._queue), len(self._in_flight)
+            )
+        )
+        self._queue.refuse_all(self._guard.refuse_not_owner())
+
+    async def wait_idle(self) -> None:
+        """Wait for the work in flight, which has deadlines."""
+        await self._in_flight.wait_idle()
+
+    async def close(self) -> None:
+        """Stop, wait for the work in flight and close all connections."""
+        self.stop()
+        await self.wait_idle()
+        self._queue.close()
+        self._task.cancel()
+        await asyncio.wait([self._task])
+        self._reporter.publish_last()
+        await self._health.close()
+        await self._client.close()
+
+    def _start(self, work: Work, now: timedelta) -> None:
+        """Send a request; all other checks have just passed.
+
+        :param work: the request.
+        :param now: present monotonic time.
+        """
+        time = self._guard.measure(work)
+        # Work that finds the upstream idle is sent even if the latency estimate says
+        # it is late: without answers the estimate would never recover.
+        needed = self._limit.latency if self._in_flight else NO_TIME
+        if time.left <= NO_TIME or time.left < needed:
+            self._settler.settle(work, NotRun(NotRunReason.DEADLINE))
+            return
+        if not work.is_search:
+            refusal = self._guard.claim_ticket(work, now)
+            if refusal is not None:
+                self._settler.settle(work, refusal)
+                return
+        work.started_at = now
+        work.epoch = self._limit.epoch
+        attempt = send_work(self._client, work, time, self._check_send)
+        self._in_flight.add(work, self._loop.create_task(attempt), self._finish)
+
+    def _check_send(self) -> NotRun | None:
+        """Repeat the checks once the connection is open, just before the first byte.
+
+        :returns: the refusal, or None if the request may be sent.
+        """
+        now = self._ports.clock.monotonic()
+        if len(self._in_flight) > self._limit.limit:
+            return NotRun(NotRunReason.COLD)
+        return self._guard.check(now, self._limit.status.is_draining)
+
+    def _finish(self, work: Work, task: "asyncio.Task[Reply]") -> None:
+        """Take over the end of an attempt.
+
+        :param work: finished request.
+        :param task: its attempt.
+        """
+        outcome, reply = read_outcome(task)
+        if not work.is_search and isinstance(outcome, NotRun):
+            self._ports.memory.forget(work.request_id)
+        now = self._ports.clock.monotonic()
+        if reply is not None and reply.index_versions is not None:
+            self._reporter.note_versions(reply.index_versions, now)
+        self._note_change(learn_from(self._limit, work, reply, now))
+        self._settler.settle(work, outcome)
+        self.pump()
+
+    def _note_change(self, change: LimitChange | None) -> None:
+        """Log a change of the limit and act on it.
+
+        :param change: the change, None if there is none.
+        """
+        if change is None:
+            return
+        state = self._limit.status.state
+        self._ports.log.record(
+            LimitChanged(self.address, change.before, change.after, change.cause, state)
+        )
+        # Work in flight on a draining upstream runs to its end (planned shutdown).
+        if change.after < change.before and change.cause is not LimitCause.DRAINING:
+            self._cancel_surplus()
+        self._queue.shed(self._ports.clock.monotonic(), len(self._in_flight))
+
+    def _cancel_surplus(self) -> None:
+        limit = self._limit.limit
+        count = self._in_flight.cancel_surplus(limit)
+        if count:
+            self._ports.log.record(SurplusCancelled(self.address, count, limit))
+
+    def _sweep(self) -> None:
+        self._queue.shed(self._ports.clock.monotonic(), len(self._in_flight))
+        self.pump()
+
+    def _note_health(self, health: Health | None, asked_at: timedelta) -> None:
+        self._reporter.publish()
+        self._was_polled = True
+        if health is None:
+            self.pump()
+            return
+        now = self._ports.clock.monotonic()
+        self._reporter.note_polled_versions(health.index_versions, asked_at, now)
+        if health.is_restarted:
+            change = self._limit.record_negative(LimitCause.RESTARTED, now)
+            self._note_change(change)
+        self._note_change(self._limit.record_health(health.state, asked_at, now))
+        self.pump()
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Interface between daemons over HTTP."""
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/peers/client.py
@@ -0,0 +1,261 @@
+"""Calls to other daemons over HTTP."""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Generic, TypeVar
+
+import aiohttp
+import msgspec
+from result import Err, Ok, Result
+from yarl import URL
+
+from celeryferry_core.exceptions import PeerFailure, PeerFailureKind
+from celeryferry_core.models.messages import (
+    DocumentsReply,
+    DocumentsRequest,
+    ObservationsReply,
+    ObservationsRequest,
+    PartialAnswer,
+    ProbeReply,
+    ProbeRequest,
+    RunOnceForward,
+    RunReply,
+    RunRequest,
+    SubqueryBatch,
+)
+from celeryferry_core.models.topology import Host
+from celeryferry_daemon._internal.bodies import SKIPPED_HEADERS, TrackedBody
+from celeryferry_daemon._internal.peers.exchange import Exchange, StatusError
+from celeryferry_daemon._internal.peers.failures import (
+    CALL_ERRORS,
+    read_bounded,
+)
+from celeryferry_daemon._internal.peers.traffic import ControlTraffic
+
+REPLY_BYTES = 4 * 1024 * 1024
+LINE_BYTES = 1024 * 1024
+CONTROL_CONNECTIONS_PER_PEER = 4
+QUERY_CONNECTIONS_PER_PEER = 512
+KEEPALIVE_SECONDS = 30.0
+
+_T = TypeVar("_T")
+
+
+def _make_session(token: str, connections: int) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0, limit_per_host=connections, keepalive_timeout=KEEPALIVE_SECONDS
+        ),
+        headers={"Authorization": f"Bearer {token}"},
+        skip_auto_headers=SKIPPED_HEADERS,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class _Call(Generic[_T]):
+    path: str
+    reply_type: type[_T]
+    is_control: bool = True
+
+
+_PROBE = _Call("/peer/v1/probe", ProbeReply)
+_DOCUMENTS = _Call("/peer/v1/documents", DocumentsReply)
+_OBSERVATIONS = _Call("/peer/v1/observations", ObservationsReply)
+_RUN = _Call("/peer/v1/run", RunReply, is_control=False)
+_RUN_ONCE = _Call("/peer/v1/run-once", RunReply, is_control=False)
+_SUBQUERIES = _Call("/peer/v1/subqueries", PartialAnswer, is_control=False)
+
+
+class HttpPeerClient:
+    """HTTP implementation of ``ports.PeerClient``; no call is ever repeated.
+
+    :param token: fleet token.
+    :ivar traffic: control calls so far.
+    """
+
+    __slots__ = (
+        "_control",
+        "_decoders",
+        "_encoder",
+        "_queries",
+        "_token",
+        "_urls",
+        "traffic",
+    )
+
+    def __init__(self, token: str) -> None:
+        self._token = token
+        self.traffic = ControlTraffic()
+        self._control: aiohttp.ClientSession | None = None
+        self._queries: aiohttp.ClientSession | None = None
+        self._encoder = msgspec.json.Encoder()
+        self._decoders: dict[type, msgspec.json.Decoder] = {}
+        self._urls: dict[tuple[str, str], URL] = {}
+
+    async def start(self) -> None:
+        """Create the connection pools; control traffic has its own."""
+        self._open()
+
+    def _open(self) -> None:
+        if self._control is None:
+            self._control = _make_session(self._token, CONTROL_CONNECTIONS_PER_PEER)
+            self._queries = _make_session(self._token, QUERY_CONNECTIONS_PER_PEER)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for session in (self._control, self._queries):
+            if session is not None:
+                await session.close()
+
+    async def probe(
+        self, host: Host, request: ProbeRequest, timeout: timedelta
+    ) -> Result[ProbeReply, PeerFailure]:
+        """Send a heartbeat.
+
+        :param host: host to call.
+        :param request: the heartbeat.
+        :param timeout: bound of the whole call.
+        :returns: the reply.
+        """
+        return await self._call(_PROBE, host, request, timeout)
+
+    async def fetch_documents(
+        self, host: Host, request: DocumentsRequest, timeout: timedelta
+    ) -> Result[DocumentsReply, PeerFailure]:
+        """Pull newer documents.
+
+        :param host: host to call.
+        :param request: stamps of the known documents.
+        :param timeout: bound of the whole call.
+        :returns: the reply.
+        """
+        return await self._call(_DOCUMENTS, host, request, timeout)
+
+    async def fetch_observations(
+        self, host: Host, request: ObservationsRequest, timeout: timedelta
+    ) -> Result[ObservationsReply, PeerFailure]:
+        """Read the state of the upstreams that a host owns.
+
+        :param host: host to call.
+        :param request: names the application.
+        :param timeout: bound of the whole call.
+        :returns: the reply.
+        """
+        return await self._call(_OBSERVATIONS, host, request, timeout)
+
+    async def run(
+        self, host: Host, request: RunRequest, timeout: timedelta
+    ) -> Result[RunReply, PeerFailure]:
+        """Ask an owner to run a non-repeatable request.
+
+        :param host: host to call.
+        :param request: the request.
+        :param timeout: bound of the whole call.
+        :returns: the reply.
+        """
+        return await self._call(_RUN, host, request, timeout)
+
+    async def forward_run_once(
+        self, host: Host, request: RunOnceForward, timeout: timedelta
+    ) -> Result[RunReply, PeerFailure]:
+        """Pass a request on to the process that issued its ticket.
+
+        :param host: host to call.
+        :param request: the request.
+        :param timeout: bound of the whole call.
+        :returns: the reply.
+        """
+        return await self._call(_RUN_ONCE, host, request, timeout)
+
+    async def send_subqueries(
+        self, host: Host, batch: SubqueryBatch, timeout: timedelta
+    ) -> AsyncIterator[Result[PartialAnswer, PeerFailure]]:
+        """Send a batch and iterate over the lines of its answer.
+
+        :param host: host to call.
+        :param batch: the batch.
+        :param timeout: bound of the whole call.
+        :returns: iterator that ends after the line with ``final`` or a failure.
+            Closing it closes the connection.
+        """
+        exchange = Exchange()
+        final = False
+        try:
+            response = await self._post(exchange, _SUBQUERIES, host, batch, timeout)
+            while not final:
+                line = await response.content.readline(max_line_length=LINE_BYTES)
+                answer = self._decode_line(host, line)
+                final = answer.is_err() or answer.ok_value.final
+                yield answer
+            final = answer.is_ok()
+        except CALL_ERRORS as error:
+            yield Err(exchange.classify(host, error))
+        finally:
+            await exchange.finish_stream(final)
+
+    def _decode_line(
+        self, host: Host, line: bytes
+    ) -> Result[PartialAnswer, PeerFailure]:
+        if not line.endswith(b"\n"):
+            kind = PeerFailureKind.CONNECTION_LOST
+            detail = "the stream ended without a final line"
+            return Err(PeerFailure(kind, host.host_id, detail))
+        try:
+            return Ok(self._decoder(PartialAnswer).decode(line))
+        except (ValueError, RecursionError) as error:
+            kind = PeerFailureKind.BAD_ANSWER
+            return Err(PeerFailure(kind, host.host_id, str(error)))
+
+    async def _call(
+        self, call: _Call[_T], host: Host, request: msgspec.Struct, timeout: timedelta
+    ) -> Result[_T, PeerFailure]:
+        exchange = Exchange()
+        try:
+            response = await self._post(exchange, call, host, request, timeout)
+            content = await read_bounded(response, REPLY_BYTES)
+            if call.is_control:
+                headers = response.request_info.headers
+                self.traffic.count(call.path, headers, len(content))
+            return Ok(self._decoder(call.reply_type).decode(content))
+        except CALL_ERRORS as error:
+            return Err(exchange.classify(host, error))
+        finally:
+            exchange.release()
+
+    async def _post(
+        self,
+        exchange: Exchange,
+        call: _Call,
+        host: Host,
+        request: msgspec.Struct,
+        timeout: timedelta,
+    ) -> aiohttp.ClientResponse:
+        self._open()
+        session = self._control if call.is_control else self._queries
+        exchange.body = TrackedBody(self._encoder.encode(request))
+        exchange.response = response = await session.post(
+            self._url(host.peers_address, call.path),
+            data=exchange.body,
+            allow_redirects=False,
+            timeout=aiohttp.ClientTimeout(total=max(timeout.total_seconds(), 0.001)),
+        )
+        if response.status != 200:
+            raise StatusError(response.status)
+        return response
+
+    def _decoder(self, kind: type) -> msgspec.json.Decoder:
+        decoder = self._decoders.get(kind)
+        if decoder is None:
+            decoder = self._decoders[kind] = msgspec.json.Decoder(kind)
+        return decoder
+
+    def _url(self, address: str, path: str) -> URL:
+        url = self._urls.get((address, path))
+        if url is None:
+            if len(self._urls) > 4096:
+                self._urls.clear()
+            url = self._urls[address, path] = URL(f"http://{address}{path}")
+        return url
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/peers/server.py
@@ -0,0 +1,284 @@
+"""Listener for other daemons and operators."""
+
+import asyncio
+import hmac
+from collections.abc import Iterable
+from datetime import timedelta
+
+import msgspec
+from aiohttp import web
+from aioprometheus import Registry, render
+
+from celeryferry_core.models.messages import (
+    DocumentsReply,
+    DocumentsRequest,
+    ProbeReply,
+    ProbeRequest,
+)
+from celeryferry_core.ports import Clock
+from celeryferry_daemon._internal.request_heads import (
+    CHECKS_PER_TIMEOUT,
+    HEAD_TIMEOUT,
+    HeadTimedHandler,
+    mark_request,
+)
+
+PEER_BODY_BYTES = 256 * 1024
+HEADER_LINE_BYTES = 8190
+MAX_HEADERS = 64
+BACKLOG = 1024
+# Each open connection costs memory, also one that never sends a request. Callers keep
+# a few connections; daemons keep many to each of their peers.
+MAX_CALLER_CONNECTIONS = 1024
+MAX_PEER_CONNECTIONS = 16_384
+# No caller may ask for more, and clocks agree within the skew.
+MAX_DEADLINE = timedelta(seconds=60)
+CLOCK_SKEW = timedelta(milliseconds=100)
+# Longer than the daemons keep idle connections, so that they close first.
+KEEPALIVE_TIME = timedelta(seconds=75)
+HANDLER_OPTIONS = {
+    "access_log": None,
+    "max_line_size": HEADER_LINE_BYTES,
+    "max_field_size": HEADER_LINE_BYTES,
+    "max_headers": MAX_HEADERS,
+    "keepalive_timeout": KEEPALIVE_TIME.total_seconds(),
+    "auto_decompress": False,
+}
+PROBE_PATH = "/peer/v1/probe"
+OPEN_PATHS = frozenset({"/metrics"})
+
+
+def json_response(message: msgspec.Struct, status: int = 200) -> web.Response:
+    """Encode a message as a response.
+
+    :param message: the message.
+    :param status: HTTP status.
+    :returns: the response.
+    """
+    return web.Response(
+        body=msgspec.json.encode(message),
+        status=status,
+        content_type="application/json",
+    )
+
+
+def make_token_check(token: str):
+    """Return a middleware that admits only holders of the fleet token.
+
+    :param token: fleet token.
+    :returns: the middleware; ``/metrics`` needs no token.
+    """
+    expected = f"Bearer {token}".encode()
+
+    @web.middleware
+    async def check_token(request: web.Request, handler) -> web.StreamResponse:
+        if request.path not in OPEN_PATHS:
+            given = request.headers.get("Authorization", "")
+            given_bytes = given.encode("utf-8", "surrogateescape")
+            if not hmac.compare_digest(given_bytes, expected):
+                raise web.HTTPUnauthorized(text="send the fleet token\n")
+        return await handler(request)
+
+    return check_token
+
+
+async def _drop_unused_headers(
+    request: web.Request, response: web.StreamResponse
+) -> None:
+    # Daemons do not read them, and probes are most of the control traffic.
+    response.headers.popall("Server", None)
+    response.headers.popall("Date", None)
+    if request.path == PROBE_PATH:
+        response.headers.popall("Content-Type", None)
+
+
+def make_peer_app(token: str, routes: Iterable[web.RouteDef]) -> web.Application:
+    """Assemble the application of the peer listener.
+
+    :param token: fleet token.
+    :param routes: routes of all tasks.
+    :returns: the application.
+    """
+    app = web.Application(
+        client_max_size=PEER_BODY_BYTES, middlewares=[make_token_check(token)]
+    )
+    app.on_response_prepare.append(_drop_unused_headers)
+    app.add_routes(list(routes))
+    return app
+
+
+class _Refuser(asyncio.Protocol):
+    """Closes a connection that exceeds the bound."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport.abort()
+
+
+class BoundedSite(web.BaseSite):
+    """Listens at an address and bounds the open connections.
+
+    :param runner: runner of the application.
+    :param ip: IP address.
+    :param port: port.
+    :param connections: largest number of open connections.
+    :param head_timeout: time for a complete request head.
+    """
+
+    def __init__(
+        self,
+        runner: web.AppRunner,
+        ip: str,
+        port: int,
+        connections: int,
+        head_timeout: timedelta,
+    ) -> None:
+        super().__init__(runner, backlog=BACKLOG)
+        self._address = ip, port
+        self._connections = connections
+        self._check_seconds = head_timeout.total_seconds() / CHECKS_PER_TIMEOUT
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def name(self) -> str:
+        """URL of the listener."""
+        ip, port = self._address
+        return f"http://{ip}:{port}"
+
+    async def start(self) -> None:
+        """Listen."""
+        await super().start()
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._accept, *self._address, backlog=BACKLOG
+        )
+        self._timer = loop.call_later(self._check_seconds, self._check_heads)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._timer is not None:
+            self._timer.cancel()
+        await super().stop()
+
+    def _accept(self) -> asyncio.Protocol:
+        server = self._runner.server
+        if server is None or len(server.connections) >= self._connections:
+            return _Refuser()
+        loop = asyncio.get_running_loop()
+        return HeadTimedHandler(server, loop=loop, **HANDLER_OPTIONS)
+
+    def _check_heads(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self._check_seconds, self._check_heads)
+        server = self._runner.server
+        for connection in server.connections if server is not None else ():
+            connection.check_head()
+
+
+async def start_listener(
+    app: web.Application,
+    address: str,
+    stop_timeout: timedelta = timedelta(seconds=5),
+    connections: int = MAX_PEER_CONNECTIONS,
+    head_timeout: timedelta = HEAD_TIMEOUT,
+) -> web.AppRunner:
+    """Serve an application at an address.
+
+    :param app: the application.
+    :param address: ``ip:port``.
+    :param stop_timeout: time for running handlers when the runner is cleaned up.
+    :param connections: largest number of open connections.
+    :param head_timeout: time for a complete request head.
+    :returns: the runner, for its clean-up.
+    :raises OSError: if the address cannot be bound.
+    """
+    app.middlewares.insert(0, mark_request)
+    runner = web.AppRunner(
+        app,
+        handler_cancellation=True,
+        shutdown_timeout=stop_timeout.total_seconds(),
+    )
+    await runner.setup()
+    ip, _, port = address.rpartition(":")
+    try:
+        await BoundedSite(runner, ip, int(port), connections, head_timeout).start()
+    except OSError:
+        await runner.cleanup()
+        raise
+    return runner
+
+
+def check_deadline(deadline_unix_ms: int, clock: Clock) -> None:
+    """Check the deadline of a peer's request as strictly as a caller's.
+
+    :param deadline_unix_ms: milliseconds of wall-clock time.
+    :param clock: source of time.
+    :raises web.HTTPBadRequest: if it is later than any caller may ask for.
+    """
+    latest = clock.wall() + MAX_DEADLINE + CLOCK_SKEW
+    if deadline_unix_ms > latest.timestamp() * 1000:
+        raise web.HTTPBadRequest(text="correct deadline_unix_ms: it is too late\n")
+
+
+async def decode_request(request: web.Request, decoder: msgspec.json.Decoder):
+    """Decode the body of a peer's request.
+
+    :param request: the request.
+    :param decoder: decoder of its type.
+    :returns: the message.
+    :raises web.HTTPBadRequest: if the body does not have the type.
+    """
+    body = await request.read()
+    try:
+        return decoder.decode(body)
+    except (ValueError, RecursionError) as error:
+        raise web.HTTPBadRequest(text=f"correct the request: {error}\n") from error
+
+
+class ControlRoutes:
+    """Routes for probes, documents and metrics.
+
+    :param answer_probe: answers a heartbeat.
+    :param answer_documents: answers a pull, or returns None while this host has no
+        complete configuration.
+    :param registry: metrics of the daemon.
+    :param update_metrics: sets the gauges before a scrape.
+    """
+
+    def __init__(
+        self, answer_probe, answer_documents, registry: Registry, update_metrics
+    ) -> None:
+        self._update_metrics = update_metrics
+        self._answer_probe = answer_probe
+        self._answer_documents = answer_documents
+        self._registry = registry
+        self._probes = msgspec.json.Decoder(ProbeRequest)
+        self._pulls = msgspec.json.Decoder(DocumentsRequest)
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes.
+
+        :returns: route definitions.
+        """
+        return [
+            web.post(PROBE_PATH, self._probe),
+            web.post("/peer/v1/documents", self._documents),
+            web.get("/metrics", self._metrics),
+        ]
+
+    async def _probe(self, request: web.Request) -> web.Response:
+        message = await decode_request(request, self._probes)
+        reply: ProbeReply = self._answer_probe(message)
+        return json_response(reply)
+
+    async def _documents(self, request: web.Request) -> web.Response:
+        message = await decode_request(request, self._pulls)
+        reply: DocumentsReply | None = self._answer_documents(message)
+        if reply is None:
+            raise web.HTTPServiceUnavailable(text="starting; ask another host\n")
+        return json_response(reply)
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        self._update_metrics()
+        accepts = request.headers.getall("Accept", [])
+        content, headers = render(self._registry, accepts)
+        return web.Response(body=content, headers=headers)
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/peers/traffic.py
@@ -0,0 +1,75 @@
+"""Traffic of the control plane as this host's client sees it."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from aioprometheus import Gauge, Registry
+
+
+@dataclass(slots=True)
+class CallTotals:
+    """Answered calls of one path; bodies only.
+
+    :param calls: number of calls.
+    :param sent_bytes: bytes of their requests.
+    :param received_bytes: bytes of their answers.
+    """
+
+    calls: int = 0
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+
+class ControlTraffic:
+    """Calls to other daemons for probes, documents and observations.
+
+    :ivar totals: totals by path.
+    """
+
+    __slots__ = ("totals",)
+
+    def __init__(self) -> None:
+        self.totals: dict[str, CallTotals] = {}
+
+    def count(self, path: str, headers: Mapping[str, str], received: int) -> None:
+        """Count a call.
+
+        :param path: path of the request.
+        :param headers: headers of the request.
+        :param received: bytes of the answer.
+        """
+        totals = self.totals.get(path)
+        if totals is None:
+            totals = self.totals[path] = CallTotals()
+        totals.calls += 1
+        totals.sent_bytes += int(headers.get("Content-Length", "0"))
+        totals.received_bytes += received
+
+
+class TrafficMetrics:
+    """Gauges that are set just before each scrape, which costs a call nothing.
+
+    :param registry: metrics of the daemon.
+    """
+
+    def __init__(self, registry: Registry) -> None:
+        self._calls = Gauge(
+            "celeryferry_control_calls", "Answered control calls.", registry=registry
+        )
+        self._bytes = Gauge(
+            "celeryferry_control_bytes",
+            "Bytes of the bodies of control calls.",
+            registry=registry,
+        )
+
+    def update(self, traffic: ControlTraffic) -> None:
+        """Set all gauges.
+
+        :param traffic: counted so far.
+        """
+        for path, totals in traffic.totals.items():
+            call = path.rsplit("/", 1)[1]
+            self._calls.set({"call": call}, totals.calls)
+            self._bytes.set({"call": call, "direction": "sent"}, totals.sent_bytes)
+            received = totals.received_bytes
+            self._bytes.set({"call": call, "direction": "received"}, received)
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/request_heads.py
@@ -0,0 +1,87 @@
+"""Bound on the time that a connection may take to deliver a request head."""
+
+import asyncio
+from datetime import timedelta
+
+from aiohttp import StreamReader, web
+
+# An unfinished head occupies one of a bounded number of connections. aiohttp closes
+# such a connection only with the idle ones, which are kept for much longer.
+HEAD_TIMEOUT = timedelta(seconds=10)
+CHECKS_PER_TIMEOUT = 10
+
+
+class HeadTimedHandler(web.RequestHandler):
+    """Connection that counts the checks for which a request head is unfinished.
+
+    Checks are counted instead of time, so that a pause of the process does not close
+    a connection whose request waits in the socket buffer. A partial head that arrives
+    in one segment with the end of the previous request is not seen; such a connection
+    is closed like an idle one.
+    """
+
+    __slots__ = ("_body", "_checks", "_is_busy")
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Wait for the first head.
+
+        :param transport: the connection.
+        """
+        self._body: StreamReader | None = None
+        self._checks: int | None = 0
+        self._is_busy = False
+        super().connection_made(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Recognize the first bytes of a head.
+
+        :param data: bytes of a head or a body.
+        """
+        # aiohttp itself calls this without data to resume reading.
+        if data and self._checks is None and self._is_body_complete():
+            self._checks = 0
+        super().data_received(data)
+
+    def _is_body_complete(self) -> bool:
+        return self._body is None or self._body.is_eof()
+
+    def start_request(self, request: web.BaseRequest) -> None:
+        """Note that a head is complete.
+
+        :param request: its request.
+        """
+        self._body = request.content
+        self._checks = None
+        self._is_busy = True
+
+    def end_request(self) -> None:
+        """Note that a request has been handled."""
+        self._is_busy = False
+        if self._checks is not None:
+            # The next head has begun meanwhile and could not be taken up before.
+            self._checks = 0
+
+    def check_head(self) -> None:
+        """Close the connection if a head has been unfinished for too many checks."""
+        if self._checks is None or self._is_busy:
+            return
+        self._checks += 1
+        if self._checks >= CHECKS_PER_TIMEOUT:
+            self.force_close()
+
+
+@web.middleware
+async def mark_request(request: web.Request, handler) -> web.StreamResponse:
+    """Tell the connection when a request starts and ends.
+
+    :param request: the request.
+    :param handler: next handler.
+    :returns: its response.
+    """
+    connection = request.protocol
+    assert isinstance(connection, HeadTimedHandler)
+    connection.start_request(request)
+    try:
+        return await handler(request)
+    finally:
+        connection.end_request()
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/tasks.py
@@ -0,0 +1,67 @@
+"""Set of background tasks that end together."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from datetime import timedelta
+
+import logbook
+
+_logger = logbook.Logger("celeryferry")
+
+
+RESTART_DELAY = timedelta(milliseconds=500)
+
+
+async def _run_lasting(run: Callable[[], Coroutine], name: str) -> None:
+    while True:
+        try:
+            await run()
+            return
+        except Exception:
+            _logger.exception("task {} failed; starting it again", name)
+            await asyncio.sleep(RESTART_DELAY.total_seconds())
+
+
+class TaskSet:
+    """Keeps references to running tasks and reports their failures."""
+
+    __slots__ = ("_tasks",)
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task] = set()
+
+    def __len__(self) -> int:
+        return len(self._tasks)
+
+    def spawn(self, work: Coroutine, name: str) -> asyncio.Task:
+        """Start a task.
+
+        :param work: what it runs.
+        :param name: name in the log.
+        :returns: the task.
+        """
+        task = asyncio.create_task(work, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish)
+        return task
+
+    def spawn_lasting(self, run: Callable[[], Coroutine], name: str) -> asyncio.Task:
+        """Start a task that is started again if it fails.
+
+        :param run: makes what it runs.
+        :param name: name in the log.
+        :returns: the task.
+        """
+        return self.spawn(_run_lasting(run, name), name)
+
+    async def stop(self) -> None:
+        """Cancel all tasks and wait for their end."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _finish(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _logger.error("task {} failed: {!r}", task.get_name(), task.exception())
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/tickets/__init__.py
@@ -0,0 +1,5 @@
+"""Tickets: non-repeatable requests of callers."""
+
+from celeryferry_daemon._internal.tickets.desk import TicketDesk
+
+__all__ = ["TicketDesk"]
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/tickets/desk.py
@@ -0,0 +1,217 @@
+"""Runs the requests of tickets at most once, here or at their issuer."""
+
+import asyncio
+from datetime import timedelta
+
+import aioprometheus
+import msgspec
+from aiohttp import web
+from reactivex.abc import DisposableBase
+from result import Err, Ok, Result
+
+from celeryferry_core.decisions.tickets import TicketForwarded, TicketSettled
+from celeryferry_core.mechanisms import Mechanisms
+from celeryferry_core.models.callers import (
+    ErrorBody,
+    ErrorType,
+    Ran,
+    TicketAnswer,
+    TicketRequest,
+)
+from celeryferry_core.models.messages import RunOnceForward, RunReply
+from celeryferry_core.models.outcomes import OutcomeUnknown, RunOutcome, UnknownReason
+from celeryferry_core.models.settings import LimitSettings
+from celeryferry_core.models.topology import Host
+from celeryferry_core.ports import (
+    Clock,
+    DecisionLog,
+    FreshnessGate,
+    PeerClient,
+    RandomSource,
+)
+from celeryferry_core.tickets import TicketName, TicketTable, parse_ticket
+from celeryferry_daemon._internal.streams import Streams
+from celeryferry_daemon._internal.tickets.executions import TicketExecutions
+from celeryferry_daemon._internal.tickets.issuer import TicketIssuer
+from celeryferry_daemon._internal.tickets.metrics import TicketMetrics
+from celeryferry_daemon._internal.tickets.replies import read_reply
+from celeryferry_daemon._internal.tickets.routes import TicketRoutes
+from celeryferry_daemon._internal.tickets.runner import (
+    ANSWER_MARGIN,
+    TicketRunner,
+    time_until,
+)
+
+EXPIRY_INTERVAL = timedelta(seconds=1)
+_ISSUER_GONE = OutcomeUnknown(UnknownReason.ISSUER_GONE)
+
+
+class TicketDesk:
+    """Tickets of this process.
+
+    :param host: this host.
+    :param incarnation: random id of this process.
+    :param limits: bounds of the daemon.
+    :param streams: streams of the daemon.
+    :param peers: client for other daemons.
+    :param gate: tells whether the configuration may be acted on.
+    :param clock: source of time.
+    :param random: source of random numbers for the order of replicas.
+    :param log: receiver of decisions.
+    :param registry: registry for metrics.
+    :param mechanisms: switches for tests.
+    """
+
+    def __init__(
+        self,
+        host: Host,
+        incarnation: str,
+        limits: LimitSettings,
+        streams: Streams,
+        peers: PeerClient,
+        gate: FreshnessGate,
+        clock: Clock,
+        random: RandomSource,
+        log: DecisionLog,
+        registry: aioprometheus.Registry,
+        mechanisms: Mechanisms,
+    ) -> None:
+        self._host = host
+        self._streams = streams
+        self._peers = peers
+        self._clock = clock
+        self._log = log
+        self._mechanisms = mechanisms
+        self._metrics = TicketMetrics(registry)
+        self._table = TicketTable(
+            limits.tickets, limits.ticket_validity, mechanisms.ticket_memory
+        )
+        table = self._table
+        self._routes = TicketRoutes(self, limits.body_bytes, clock, table.is_unused)
+        self._issuer = TicketIssuer(
+            host, incarnation, limits, streams, table, gate, clock, log, mechanisms
+        )
+        self._runner = TicketRunner(
+            host, streams, peers, clock, random, log, mechanisms
+        )
+        self._executions = TicketExecutions(
+            self._table, self._runner, gate, clock, log, mechanisms
+        )
+        self._subscription: DisposableBase | None = None
+        self._expiry: asyncio.Task | None = None
+
+    def caller_routes(self) -> list[web.RouteDef]:
+        """Return the routes for the caller listener."""
+        return self._routes.caller_routes()
+
+    def peer_routes(self) -> list[web.RouteDef]:
+        """Return the routes for the peer listener."""
+        return self._routes.peer_routes()
+
+    async def start(self) -> None:
+        """Follow the membership and expire tickets."""
+        self._subscription = self._streams.membership.subscribe(
+            self._runner.replace_membership
+        )
+        self._expiry = asyncio.create_task(self._expire())
+
+    async def stop(self) -> None:
+        """Wait for the running requests, which have deadlines."""
+        await self._executions.stop()
+        if self._subscription is not None:
+            self._subscription.dispose()
+        if self._expiry is not None:
+            self._expiry.cancel()
+            await asyncio.wait([self._expiry])
+
+    def issue(self, request: TicketRequest) -> Result[TicketAnswer, ErrorBody]:
+        """Issue a ticket.
+
+        :param request: the caller's request.
+        :returns: the ticket, or the error to answer with.
+        """
+        return self._issuer.issue(request)
+
+    async def run_once(
+        self, text: str, request: msgspec.Raw, deadline_unix_ms: int
+    ) -> Result[RunOutcome, ErrorBody]:
+        """Run the request of a ticket, here or at its issuer.
+
+        :param text: ticket as the caller sent it.
+        :param request: JSON value for the upstream.
+        :param deadline_unix_ms: absolute deadline in milliseconds of wall-clock time.
+        :returns: the outcome, or an error if the text is no ticket.
+        """
+        parsed = parse_ticket(text)
+        if isinstance(parsed, Err):
+            message = "The ticket is malformed; use the text of POST /v1/tickets."
+            return Err(ErrorBody(ErrorType.TICKET_UNKNOWN, message, Ran.NO))
+        name = parsed.ok_value
+        if not self._mechanisms.ticket_origin:
+            self._adopt(text)
+        if not self._mechanisms.ticket_origin or self._issuer.is_own(name):
+            outcome = await self._executions.run(text, request, deadline_unix_ms)
+        else:
+            outcome = await self._forward(name, request, deadline_unix_ms)
+        self._note_outcome(text, outcome)
+        return Ok(outcome)
+
+    async def run_forwarded(self, message: RunOnceForward) -> RunReply:
+        """Run a request that another entry host passed on; it is not forwarded again.
+
+        :param message: the request.
+        :returns: its outcome.
+        """
+        parsed = parse_ticket(message.ticket)
+        outcome: RunOutcome = _ISSUER_GONE
+        if isinstance(parsed, Ok) and self._issuer.is_own(parsed.ok_value):
+            outcome = await self._executions.run(
+                message.ticket, message.request, message.deadline_unix_ms
+            )
+        self._note_outcome(message.ticket, outcome)
+        return RunReply(message.ticket, outcome)
+
+    async def _forward(
+        self, name: TicketName, request: msgspec.Raw, deadline_unix_ms: int
+    ) -> RunOutcome:
+        """Pass a request on to the process that issued its ticket.
+
+        Any failure leaves the outcome unknown, even if this call certainly ran
+        nothing: an earlier call may have run the ticket.
+
+        :param name: parts of the ticket.
+        :param request: JSON value for the upstream.
+        :param deadline_unix_ms: absolute deadline in milliseconds of wall-clock time.
+        :returns: the issuer's statement, or unknown.
+        """
+        issuer = self._streams.membership.value.hosts.get(name.host_id)
+        if issuer is None or name.host_id == self._host.host_id:
+            return _ISSUER_GONE
+        text = name.to_text()
+        self._log.record(TicketForwarded(text, name.host_id))
+        message = RunOnceForward(text, request, deadline_unix_ms)
+        timeout = time_until(deadline_unix_ms, self._clock) + 3 * ANSWER_MARGIN
+        reply = await self._peers.forward_run_once(issuer, message, timeout)
+        return read_reply(reply, text, _ISSUER_GONE)
+
+    def _adopt(self, text: str) -> None:
+        """Take over a foreign ticket as if it were issued here; for tests only.
+
+        :param text: the ticket.
+        """
+        active = self._streams.configuration.value.documents.values()
+        document = next(iter(active)).document
+        ids = document.application, document.service
+        self._table.adopt(text, *ids, self._clock.monotonic())
+
+    def _note_outcome(self, text: str, outcome: RunOutcome) -> None:
+        reason = getattr(outcome, "reason", None)
+        kind = type(outcome).__struct_config__.tag
+        self._log.record(TicketSettled(text, kind, reason and reason.value))
+        self._metrics.count(kind)
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL.total_seconds())
+            self._table.expire(self._clock.monotonic())
+            self._metrics.set_open(len(self._table))
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/tickets/metrics.py
@@ -0,0 +1,36 @@
+"""Prometheus metrics of the tickets."""
+
+import aioprometheus
+
+
+class TicketMetrics:
+    """Metrics of the tickets of this process.
+
+    :param registry: registry of the daemon.
+    """
+
+    __slots__ = ("_open", "_outcomes")
+
+    def __init__(self, registry: aioprometheus.Registry) -> None:
+        self._outcomes = aioprometheus.Counter(
+            "celeryferry_ticket_requests_total",
+            "Run-once requests by outcome.",
+            registry=registry,
+        )
+        self._open = aioprometheus.Gauge(
+            "celeryferry_tickets_open", "Tickets remembered.", registry=registry
+        )
+
+    def count(self, outcome: str) -> None:
+        """Count a settled request.
+
+        :param outcome: kind of the outcome.
+        """
+        self._outcomes.inc({"outcome": outcome})
+
+    def set_open(self, count: int) -> None:
+        """Set the number of tickets remembered.
+
+        :param count: the number.
+        """
+        self._open.set({}, count)
--- /dev/null
+++ b/packages/celeryferry-standins/src/celeryferry_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, the load generator and the test daemon."""
--- /dev/null
+++ b/packages/celeryferry-standins/src/celeryferry_standins/configuration_store.py
@@ -0,0 +1,121 @@
+"""Documents and read counts of the stand-in configuration service."""
+
+import time
+from collections import deque
+
+import msgspec
+
+MAX_VALUE_BYTES = 1_000_000
+RATE_WINDOW_S = 1.0
+
+
+class StoredDocument(msgspec.Struct, frozen=True):
+    """A document as the service stores it.
+
+    :param name: name of the document.
+    :param revision: revision of its latest write.
+    :param text: TOML source.
+    """
+
+    name: str
+    revision: int
+    text: str
+
+
+class ServiceCounts(msgspec.Struct):
+    """What the service counted.
+
+    :param reads: calls of any kind; a waiting watch counts as one.
+    :param watches: watch calls.
+    :param document_reads: reads of one document.
+    :param watches_waiting: watches that wait now.
+    :param reads_per_second: reads in the last second.
+    :param max_reads_per_second: most reads in any window of one second.
+    """
+
+    reads: int = 0
+    watches: int = 0
+    document_reads: int = 0
+    watches_waiting: int = 0
+    reads_per_second: int = 0
+    max_reads_per_second: int = 0
+
+
+class DocumentStore:
+    """All states that the service ever had."""
+
+    def __init__(self):
+        self.revision = 0
+        self.stale_at: int | None = None
+        self._states: list[dict[str, StoredDocument]] = [{}]
+
+    @property
+    def served_revision(self) -> int:
+        """Revision that readers see."""
+        return self.revision if self.stale_at is None else self.stale_at
+
+    @property
+    def documents(self) -> dict[str, StoredDocument]:
+        """Documents that readers see, by name."""
+        return self._states[self.served_revision]
+
+    def put(self, name: str, text: str) -> None:
+        """Write a document.
+
+        :param name: name of the document.
+        :param text: TOML source, at most 1 MB.
+        :raises ValueError: the text is too large.
+        """
+        if len(text.encode()) > MAX_VALUE_BYTES:
+            raise ValueError(f"{name}: values are limited to {MAX_VALUE_BYTES} bytes")
+        self.revision += 1
+        document = StoredDocument(name, self.revision, text)
+        self._states.append({**self._states[-1], name: document})
+
+    def remove(self, name: str) -> None:
+        """Remove a document.
+
+        :param name: name of the document.
+        """
+        self.revision += 1
+        latest = self._states[-1]
+        self._states.append({key: latest[key] for key in latest if key != name})
+
+    def list_changed(self, after: int) -> dict[str, int]:
+        """List the documents written after a revision.
+
+        :param after: revision.
+        :returns: revisions by name.
+        """
+        return {
+            name: document.revision
+            for name, document in self.documents.items()
+            if document.revision > after
+        }
+
+
+class ReadCounter:
+    """Counts reads and their rate."""
+
+    def __init__(self):
+        self.counts = ServiceCounts()
+        self._recent: deque[float] = deque()
+
+    def count(self) -> None:
+        """Count one read."""
+        self._recent.append(time.monotonic())
+        self._forget_old()
+        self.counts.reads += 1
+        most = max(self.counts.max_reads_per_second, len(self._recent))
+        self.counts.max_reads_per_second = most
+
+    def _forget_old(self) -> None:
+        oldest = time.monotonic() - RATE_WINDOW_S
+        while self._recent and self._recent[0] < oldest:
+            self._recent.popleft()
+
+    def read(self) -> ServiceCounts:
+        """Return the counts with the current rate."""
+        self._forget_old()
+        self.counts.reads_per_second = len(self._recent)
+        return self.counts
--- /dev/null
+++ b/packages/celeryferry-standins/src/celeryferry_standins/fleet_control.py
@@ -0,0 +1,214 @@
+"""Control of the running parts of a test fleet."""
+
+from dataclasses import replace
+from datetime import timedelta
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from celeryferry_core.documents import render_document
+from celeryferry_core.models.topology import ServiceDocument
+from celeryferry_standins.host_list import ListedHost
+from celeryferry_standins.plans import DaemonHandle, UpstreamHandle
+from celeryferry_standins.processes import wait_until
+from celeryferry_standins.upstream.behaviour import Counters
+
+READY_WITHIN = timedelta(seconds=20)
+FLEET_TOKEN = "test-fleet-token"
+
+
+class FleetControl:
+    """Calls to the stand-ins and daemons of a fleet.
+
+    :ivar daemons: daemons by host id.
+    :ivar upstreams: upstreams by name.
+    :ivar documents: service documents as last written, by service.
+    """
+
+    session: aiohttp.ClientSession
+
+    def __init__(self) -> None:
+        self.daemons: dict[str, DaemonHandle] = {}
+        self.upstreams: dict[str, UpstreamHandle] = {}
+        self.documents: dict[str, ServiceDocument] = {}
+        self.configuration_service: dict[str, str] = {}
+        self.host_list: dict[str, str] = {}
+
+    @property
+    def entry_addresses(self) -> tuple[str, ...]:
+        """Addresses of all daemons for callers."""
+        return tuple(one.host.callers_address for one in self.daemons.values())
+
+    def list_shards(self, application: str) -> frozenset[str]:
+        """List the shards of an application.
+
+        :param application: name of the application.
+        :returns: shards as ``service/shard``.
+        """
+        return frozenset(
+            f"{document.service}/{shard.name}"
+            for document in self.documents.values()
+            for shard in document.shards
+            if document.application == application
+        )
+
+    async def put_documents(self, documents: list[ServiceDocument]) -> None:
+        """Write service documents to the configuration service.
+
+        :param documents: documents to write, with the versions they carry.
+        """
+        texts = {one.service: render_document(one) for one in documents}
+        self.documents.update({one.service: one for one in documents})
+        await self.control_configuration(put=texts)
+
+    async def change_services(self, application: str | None, **changes: Any) -> None:
+        """Change fields of service documents and raise their versions.
+
+        :param application: application whose services change, None for all.
+        :param changes: fields of ``ServiceDocument``.
+        """
+        changed = [
+            replace(one, version=one.version + 1, **changes)
+            for one in self.documents.values()
+            if application in (None, one.application)
+        ]
+        await self.put_documents(changed)
+
+    async def publish_hosts(
+        self,
+        leaving: frozenset[str] = frozenset(),
+        removed: frozenset[str] = frozenset(),
+        **changes: Any,
+    ) -> None:
+        """Write the hosts to the host list.
+
+        :param leaving: host ids listed as leaving.
+        :param removed: host ids that are not listed.
+        :param changes: other fields of the control request, such as ``lag_ms``.
+        """
+        hosts = [
+            ListedHost(
+                one.host.host_id,
+                one.host.failure_domain,
+                one.host.callers_address,
+                one.host.peers_address,
+                "leaving" if name in leaving else "live",
+            )
+            for name, one in self.daemons.items()
+            if name not in removed
+        ]
+        await self.control_host_list(hosts=hosts, **changes)
+
+    async def wait_for_coverage(
+        self, application: str, within: timedelta = READY_WITHIN
+    ) -> None:
+        """Wait until every running daemon answers a search in full.
+
+        :param application: application to search.
+        :param within: longest time to wait.
+        :raises StartError: not reached in time.
+        """
+        body = {"application": application, "query": {"probe": True}}
+        waiting = {
+            one.host.callers_address
+            for one in self.daemons.values()
+            if one.process is not None and one.process.running
+        }
+
+        async def is_complete() -> bool:
+            for address in list(waiting):
+                try:
+                    url = f"http://{address}/v1/search"
+                    async with self.session.post(url, json=body) as response:
+                        answer = await response.json()
+                        if response.status == 200 and answer["complete"]:
+                            waiting.discard(address)
+                except (aiohttp.ClientError, TimeoutError):
+                    return False
+            return not waiting
+
+        await wait_until(is_complete, within, f"full coverage of {application}")
+
+    async def _post(self, address: str, body: Any, path: str = "/control") -> Any:
+        data = msgspec.json.encode(body)
+        url = f"http://{address}{path}"
+        async with self.session.post(url, data=data) as response:
+            content = await response.read()
+            if response.status != 200:
+                raise ValueError(content.decode())
+            return msgspec.json.decode(content)
+
+    async def control_configuration(self, **changes: Any) -> Any:
+        """Change the configuration service.
+
+        :param changes: fields of its ``ControlRequest``.
+        :returns: its state.
+        """
+        return await self._post(self.configuration_service["control_address"], changes)
+
+    async def control_host_list(self, **changes: Any) -> Any:
+        """Change the host list.
+
+        :param changes: fields of its ``ControlRequest``.
+        :returns: its state.
+        """
+        return await self._post(self.host_list["control_address"], changes)
+
+    async def control_upstream(self, name: str, **changes: Any) -> None:
+        """Change the behaviour of an upstream.
+
+        :param name: name of the upstream.
+        :param changes: fields of ``Behaviour``, ``add_version``, ``remove_version``.
+        """
+        address = self.upstreams[name].host.control_address
+        await self._post(address, changes, f"/control?upstream={name}")
+
+    async def control_daemon(self, host_id: str, **changes: Any) -> None:
+        """Cut or restore traffic of a test daemon.
+
+        :param host_id: host of the daemon.
+        :param changes: fields of the test daemon's ``ControlRequest``.
+        """
+        await self._post(self.daemons[host_id].control_address, changes)
+
+    async def partition(self, *sides: frozenset[str]) -> None:
+        """Cut all traffic between groups of hosts; no argument restores it.
+
+        :param sides: disjoint groups of host ids.
+        """
+        for host_id, daemon in self.daemons.items():
+            if daemon.process is None or not daemon.process.running:
+                continue
+            others = [side for side in sides if host_id not in side]
+            cut = sorted(frozenset().union(*others)) if sides else []
+            await self.control_daemon(host_id, cut_hosts=cut)
+
+    async def read_counters(self) -> dict[str, Counters]:
+        """Read the counters of every upstream whose process runs.
+
+        :returns: counters by upstream name.
+        """
+        hosts = {id(one.host): one.host for one in self.upstreams.values()}
+        found: dict[str, Counters] = {}
+        for host in hosts.values():
+            if not host.process.running:
+                continue
+            url = f"http://{host.control_address}/counters"
+            async with self.session.get(url) as response:
+                body = await response.read()
+            found.update(msgspec.json.decode(body, type=dict[str, Counters]))
+        return found
+
+    async def read_status(self, host_id: str) -> Any:
+        """Read the status of a daemon as operators do.
+
+        :param host_id: host of the daemon.
+        :returns: decoded JSON value.
+        """
+        address = self.daemons[host_id].host.peers_address
+        url = f"http://{address}/operator/v1/status"
+        headers = {"Authorization": f"Bearer {FLEET_TOKEN}"}
+        async with self.session.get(url, headers=headers) as response:
+            response.raise_for_status()
+            return msgspec.json.decode(await response.read())
--- /dev/null
+++ b/packages/celeryferry-standins/src/celeryferry_standins/load/caller.py
@@ -0,0 +1,223 @@
+"""A caller: keeps entry hosts for their validity and fails over between them."""
+
+import random
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from celeryferry_core.models.callers import (
+    EntryHostsAnswer,
+    ErrorAnswer,
+    ErrorBody,
+    ErrorType,
+    Ran,
+    RunOnceAnswer,
+    SearchAnswer,
+    TicketAnswer,
+)
+
+MAX_ATTEMPTS = 3
+ASK_TIMEOUT_S = 2.0
+# Added to the deadline of a request: the answer has to travel back, and a caller that
+# gives up at the deadline itself would miss an answer sent in time.
+ANSWER_MARGIN_S = 1.0
+# A host that failed is not asked again for this long.
+AVOID_HOST_S = 2.0
+# Errors that say that this host, not the fleet, cannot serve now.
+TRY_ANOTHER_HOST = frozenset({ErrorType.STARTING, ErrorType.STALE_CONFIGURATION})
+NO_ENTRY_HOST = ErrorBody(ErrorType.INTERNAL, "no entry host answered", Ran.NO)
+
+
+@dataclass(slots=True)
+class Reply:
+    """Outcome of one request of a caller.
+
+    :param content: decoded answer, None after an error.
+    :param error: error, None after an answer.
+    :param address: entry host that gave it, empty if none did.
+    :param failovers: entry hosts that failed before.
+    :param no_host: True if no entry host gave any answer.
+    """
+
+    content: SearchAnswer | RunOnceAnswer | TicketAnswer | None = None
+    error: ErrorBody | None = None
+    address: str = ""
+    failovers: int = 0
+    no_host: bool = False
+
+
+@dataclass(slots=True)
+class EntryHosts:
+    """Entry hosts as a caller remembers them.
+
+    :param seeds: addresses to ask at first.
+    :param addresses: hosts of the latest answer.
+    :param valid_until: monotonic end of its validity in seconds.
+    :param avoided: monotonic time until which a failed host is avoided.
+    """
+
+    seeds: tuple[str, ...]
+    addresses: tuple[str, ...] = ()
+    valid_until: float = 0.0
+    avoided: dict[str, float] = field(default_factory=dict)
+
+    def candidates(self) -> list[str]:
+        """List the hosts to use, those that failed lately last."""
+        now = time.monotonic()
+        hosts = list(self.addresses)
+        return sorted(hosts, key=lambda one: self.avoided.get(one, 0.0) > now)
+
+    def avoid(self, address: str) -> None:
+        """Use a host only after the others for a while.
+
+        :param address: the host that failed.
+        """
+        self.avoided[address] = time.monotonic() + AVOID_HOST_S
+
+
+class Caller:
+    """One caller of an application.
+
+    :param session: HTTP client session.
+    :param application: application to use.
+    :param seeds: addresses of entry hosts to ask at first.
+    :param failure_domain: the caller's failure domain, empty if it has none.
+    :param random_source: spreads requests over the entry hosts.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        application: str,
+        seeds: tuple[str, ...],
+        failure_domain: str = "",
+        random_source: random.Random | None = None,
+    ):
+        self._session = session
+        self._application = application
+        self._failure_domain = failure_domain
+        self._hosts = EntryHosts(seeds)
+        self._random = random_source or random.Random(0)
+
+    async def _refresh(self) -> None:
+        if time.monotonic() < self._hosts.valid_until:
+            return
+        # Set at once, so that concurrent requests do not all ask.
+        before = self._hosts.valid_until
+        self._hosts.valid_until = time.monotonic() + ASK_TIMEOUT_S
+        for address in [*self._hosts.candidates(), *self._hosts.seeds]:
+            answer = await self._ask(address)
+            if answer is not None and answer.hosts:
+                addresses = tuple(host.address for host in answer.hosts)
+                self._hosts.addresses = addresses
+                validity_s = answer.valid_for_ms / 1000
+                self._hosts.valid_until = time.monotonic() + validity_s
+                return
+        self._hosts.valid_until = before
+
+    async def _ask(self, address: str) -> EntryHostsAnswer | None:
+        query = {"application": self._application}
+        if self._failure_domain:
+            query["failure_domain"] = self._failure_domain
+        url = f"http://{address}/v1/entry-hosts"
+        timeout = aiohttp.ClientTimeout(total=ASK_TIMEOUT_S)
+        try:
+            async with self._session.get(url, params=query, timeout=timeout) as reply:
+                body = await reply.read()
+                if reply.status != 200:
+                    return None
+                return msgspec.json.decode(body, type=EntryHostsAnswer)
+        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
+            return None
+
+    def _order(self) -> list[str]:
+        candidates = self._hosts.candidates() or list(self._hosts.seeds)
+        now = time.monotonic()
+        good = [one for one in candidates if self._hosts.avoided.get(one, 0.0) <= now]
+        rest = [one for one in candidates if one not in good]
+        self._random.shuffle(good)
+        return [*good, *rest]
+
+    async def search(
+        self, query: Any, deadline_ms: int, limit: int | None = None
+    ) -> Reply:
+        """Search all shards of the application.
+
+        :param query: any JSON value.
+        :param deadline_ms: longest time in milliseconds.
+        :param limit: largest number of hits, None for all.
+        :returns: answer or error.
+        """
+        body = {
+            "application": self._application,
+            "query": query,
+            "deadline_ms": deadline_ms,
+        }
+        if limit is not None:
+            body["limit"] = limit
+        return await self._send("/v1/search", body, deadline_ms, SearchAnswer)
+
+    async def take_ticket(self, service: str | None = None) -> Reply:
+        """Take a ticket for a non-repeatable request.
+
+        :param service: service of the request, None if there is only one.
+        :returns: ticket or error.
+        """
+        body = {"application": self._application}
+        if service is not None:
+            body["service"] = service
+        limit_ms = int(ASK_TIMEOUT_S * 1000)
+        return await self._send("/v1/tickets", body, limit_ms, TicketAnswer)
+
+    async def run_once(self, ticket: str, request: Any, deadline_ms: int) -> Reply:
+        """Run the request of a ticket; the ticket makes a repeated call safe.
+
+        :param ticket: the ticket.
+        :param request: any JSON value.
+        :param deadline_ms: longest time in milliseconds.
+        :returns: result or error.
+        """
+        body = {"ticket": ticket, "request": request, "deadline_ms": deadline_ms}
+        return await self._send("/v1/run-once", body, deadline_ms, RunOnceAnswer)
+
+    async def _send(
+        self, path: str, body: dict[str, Any], deadline_ms: int, kind: type
+    ) -> Reply:
+        await self._refresh()
+        reply = Reply(error=NO_ENTRY_HOST, no_host=True)
+        failovers = 0
+        for address in self._order()[:MAX_ATTEMPTS]:
+            found = await self._send_to(address, path, body, deadline_ms, kind)
+            if found is not None:
+                found.failovers = failovers
+                reply = found
+                if found.error is None or found.error.type not in TRY_ANOTHER_HOST:
+                    return found
+            self._hosts.avoid(address)
+            failovers += 1
+        reply.failovers = failovers
+        return reply
+
+    async def _send_to(
+        self, address: str, path: str, body: Any, deadline_ms: int, kind: type
+    ) -> Reply | None:
+        total_s = deadline_ms / 1000 + ANSWER_MARGIN_S
+        timeout = aiohttp.ClientTimeout(total=total_s)
+        url = f"http://{address}{path}"
+        data = msgspec.json.encode(body)
+        headers = {"Content-Type": "application/json"}
+        try:
+            async with self._session.post(
+                url, data=data, timeout=timeout, headers=headers
+            ) as response:
+                content = await response.read()
+                if response.status == 200:
+                    answer = msgspec.json.decode(content, type=kind)
+                    return Reply(content=answer, address=address)
+                error = msgspec.json.decode(content, type=ErrorAnswer).error
+                return Reply(error=error, address=address)
+        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
+            return None
--- /dev/null
+++ b/packages/celeryferry-standins/src/celeryferry_standins/plans.py
@@ -0,0 +1,179 @@
+"""Plan of a test fleet, and handles of its parts."""
+
+import socket
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+
+import msgspec
+
+from celeryferry_core.models.settings import LimitSettings
+from celeryferry_core.models.topology import Host
+from celeryferry_standins.documents import ServicePlan
+from celeryferry_standins.processes import ManagedProcess
+from celeryferry_standins.serving import LISTEN_IP
+from celeryferry_standins.upstream.behaviour import Behaviour
+
+
+@dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """What a test fleet consists of.
+
+    :param failure_domains: names of the failure domains.
+    :param services: services; each shard has replicas in every failure domain.
+    :param daemons_per_domain: daemons in each failure domain.
+    :param behaviour: behaviour of every upstream; slots, connections, cost of a
+        connection and what it bears when cold come from the service's limits.
+    :param alone: names of upstreams that get their own process.
+    :param limits: limits in the daemon settings.
+    :param log_level: log level of the daemons.
+    :param faulty: True to run the test daemon, whose traffic can be cut.
+    :param without: mechanisms that the test daemon leaves out.
+    :param host_list_lag_ms: lag of the host list.
+    :param daemon_module: module that is run as the daemon.
+    :param journals_searches: True to keep executions of searches on killed upstreams.
+    """
+
+    failure_domains: tuple[str, ...]
+    services: tuple[ServicePlan, ...]
+    daemons_per_domain: int = 3
+    behaviour: Behaviour = field(default_factory=Behaviour)
+    alone: frozenset[str] = frozenset()
+    limits: LimitSettings = field(default_factory=LimitSettings)
+    log_level: str = "info"
+    faulty: bool = False
+    without: tuple[str, ...] = ()
+    host_list_lag_ms: float = 0.0
+    daemon_module: str = "celeryferry_daemon"
+    journals_searches: bool = False
+
+    @property
+    def uses_test_daemon(self) -> bool:
+        """Whether the daemons are test daemons."""
+        return self.faulty or bool(self.without)
+
+    def list_upstreams(self) -> list["UpstreamPlan"]:
+        """List the upstreams of every service.
+
+        :returns: one plan for each replica.
+        """
+        return [
+            UpstreamPlan(service, shard, domain, number)
+            for service in self.services
+            for shard in service.shard_names
+            for domain in self.failure_domains
+            for number in range(service.replicas_per_domain)
+        ]
+
+    def behaviour_of(self, upstream: "UpstreamPlan") -> Behaviour:
+        """Return the behaviour of one upstream.
+
+        :param upstream: the upstream.
+        :returns: the plan's behaviour with the limits of the service.
+        """
+        limits = upstream.service.upstreams
+        return msgspec.structs.replace(
+            self.behaviour,
+            slots=limits.slots,
+            connections=limits.connections,
+            connect_cost_ms=limits.connect_cost_ms,
+            cold_bears=limits.cold_limit,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamPlan:
+    """One upstream of a plan.
+
+    :param service: its service.
+    :param shard: shard that it holds.
+    :param failure_domain: failure domain it is in.
+    :param number: number among the replicas of the shard there.
+    """
+
+    service: ServicePlan
+    shard: str
+    failure_domain: str
+    number: int
+
+    @property
+    def name(self) -> str:
+        """Name ``shard/failure_domain/number``, with the service if it differs."""
+        parts = [self.shard, self.failure_domain, str(self.number)]
+        if self.shard != self.service.service:
+            parts.insert(0, self.service.service)
+        return "/".join(parts)
+
+
+@dataclass(slots=True)
+class UpstreamProcessHandle:
+    """A process that hosts stand-in upstreams.
+
+    :param name: name of the process.
+    :param process: the running process.
+    :param spec_file: file with its upstreams.
+    :param control_address: address for control requests.
+    """
+
+    name: str
+    process: ManagedProcess
+    spec_file: Path
+    control_address: str
+
+
+@dataclass(slots=True)
+class UpstreamHandle:
+    """A running stand-in upstream.
+
+    :param plan: its plan.
+    :param address: its address.
+    :param host: process that hosts it.
+    """
+
+    plan: UpstreamPlan
+    address: str
+    host: UpstreamProcessHandle
+
+
+@dataclass(slots=True)
+class DaemonHandle:
+    """A daemon of the fleet.
+
+    :param host: identity and addresses.
+    :param settings_file: its settings.
+    :param control_address: control address of the test daemon.
+    :param process: latest process, None before the start.
+    :param starts: how often it was started.
+    """
+
+    host: Host
+    settings_file: Path
+    control_address: str
+    process: ManagedProcess | None = None
+    starts: int = 0
+
+    def move(self, addresses: list[str]) -> None:
+        """Give the daemon other addresses.
+
+        :param addresses: for callers, for peers and for control requests.
+        """
+        callers, peers, self.control_address = addresses
+        self.host = replace(self.host, callers_address=callers, peers_address=peers)
+
+
+def find_free_addresses(count: int) -> list[str]:
+    """Find addresses that nothing listens on at the moment.
+
+    All sockets are open at once, so the addresses differ. Another process may take
+    one before it is used; the launcher then tries again with others.
+
+    :param count: number of addresses.
+    :returns: ``ip:port`` of each.
+    """
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for one in sockets:
+            one.bind((LISTEN_IP, 0))
+        return [f"{LISTEN_IP}:{one.getsockname()[1]}" for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
--- /dev/null
+++ b/packages/celeryferry-standins/src/celeryferry_standins/processes.py
@@ -0,0 +1,173 @@
+"""Child processes of tests and the demo, ended together with their launcher."""
+
+import asyncio
+import ctypes
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+POLL_INTERVAL_S = 0.02
+LOG_TAIL_CHARACTERS = 2000
+PR_SET_PDEATHSIG = 1
+
+_libc = ctypes.CDLL(None)
+
+
+class StartError(Exception):
+    """A process or a condition was not there in time."""
+
+
+def _die_with_parent() -> None:
+    # Without this, the children of a launcher that gets SIGKILL would stay.
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+async def wait_until(
+    condition: Callable[[], Awaitable[bool]], within: timedelta, what: str
+) -> None:
+    """Poll a condition.
+
+    :param condition: coroutine function that returns True once it holds.
+    :param within: longest time to wait.
+    :param what: what is waited for, for the error message.
+    :raises StartError: the condition did not hold in time.
+    """
+    end = time.monotonic() + within.total_seconds()
+    while not await condition():
+        if time.monotonic() >= end:
+            seconds = within.total_seconds()
+            raise StartError(f"not reached within {seconds:g} s: {what}")
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
+async def run_all(calls: Iterable[Coroutine[Any, Any, Any]]) -> list[Any]:
+    """Run calls at the same time; if one fails, end the others before raising.
+
+    :param calls: coroutines.
+    :returns: their results in order.
+    """
+    tasks = [asyncio.ensure_future(call) for call in calls]
+    try:
+        return await asyncio.gather(*tasks)
+    except BaseException:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        raise
+
+
+class ManagedProcess:
+    """One child process, addressed by its own process id.
+
+    :param name: name for messages.
+    :param module: Python module to run.
+    :param arguments: arguments of the module.
+    :param log_file: file that receives its output.
+    """
+
+    def __init__(self, name: str, module: str, arguments: list[str], log_file: Path):
+        self.name = name
+        self.log_file = log_file
+        with log_file.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                start_new_session=True,
+                preexec_fn=_die_with_parent,
+            )
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self._process.pid
+
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code, None while it runs."""
+        return self._process.poll()
+
+    @property
+    def running(self) -> bool:
+        """Whether it has not ended; a stopped process counts as running."""
+        return self.exit_code is None
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self.running:
+            self._process.send_signal(number)
+
+    def pause(self) -> None:
+        """Send SIGSTOP."""
+        self._signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Send SIGCONT."""
+        self._signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Send SIGTERM."""
+        self._signal(signal.SIGTERM)
+
+    def kill(self) -> None:
+        """Send SIGKILL and wait for the end."""
+        self._signal(signal.SIGKILL)
+        self._process.wait()
+
+    async def wait(self, within: timedelta) -> int:
+        """Wait for the end.
+
+        :param within: longest time to wait.
+        :returns: exit code.
+        :raises StartError: it still runs.
+        """
+
+        async def has_ended() -> bool:
+            return not self.running
+
+        await wait_until(has_ended, within, f"end of {self.name}")
+        assert self.exit_code is not None
+        return self.exit_code
+
+    def read_log(self) -> str:
+        """Return what it has written so far."""
+        return self.log_file.read_text(errors="replace")
+
+    def read_log_tail(self) -> str:
+        """Return the end of what it has written."""
+        return self.read_log()[-LOG_TAIL_CHARACTERS:]
+
+    def read_file_if_there(self, path: Path) -> bytes:
+        """Read the ready file of the process.
+
+        :param path: file that it writes once it is ready.
+        :returns: content of the file, empty if it is not there yet.
+        :raises StartError: the process has ended.
+        """
+        if not self.running:
+            text = self.read_log_tail()
+            raise StartError(f"{self.name} ended with {self.exit_code}: {text}")
+        return path.read_bytes() if path.exists() else b""
+
+    async def wait_for_file(self, path: Path, within: timedelta) -> bytes:
+        """Wait for the ready file of the process.
+
+        :param path: file that it writes once it is ready.
+        :param within: longest time to wait.
+        :returns: content of the file.
+        :raises StartError: the process ended, or the file is not there in time.
+        """
+        content = b""
+
+        async def is_there() -> bool:
+            nonlocal content
+            content = self.read_file_if_there(path)
+            return bool(content)
+
+        await wait_until(is_there, within, f"ready file of {self.name}")
+        return content
--- /dev/null
+++ b/packages/celeryferry-standins/src/celeryferry_standins/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in upstream that speaks the protocol of the search applications."""
--- /dev/null
+++ b/packages/celeryferry-standins/src/celeryferry_standins/upstream/engine.py
@@ -0,0 +1,297 @@
+"""State of one stand-in upstream: slots, cold start, drain and counters."""
+
+import asyncio
+import random
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from celeryferry_standins.upstream.behaviour import (
+    MS,
+    Behaviour,
+    Counters,
+    Misbehaviour,
+    Refusal,
+)
+from celeryferry_standins.upstream.slots import Slots
+
+SEARCH_IDS_KEPT = 20_000
+HISTORY_KEPT = 4096
+
+
+@dataclass(slots=True, eq=False)
+class Work:
+    """One request that is being worked on.
+
+    :param done: resolves to True at the end of the service time, to False if the
+        upstream falls over before.
+    :param after_signal: True if it started after the cold signal.
+    """
+
+    done: asyncio.Future
+    after_signal: bool
+
+
+def _complete(work: Work) -> None:
+    if not work.done.done():
+        work.done.set_result(True)
+
+
+class Engine:
+    """One stand-in upstream without its sockets.
+
+    :param behaviour: what it does.
+    :param seed: seed of the service times.
+    :param record_run: called with the id of each non-repeatable request that starts.
+    :param record_search: called with the id of each search that starts.
+    """
+
+    def __init__(
+        self,
+        behaviour: Behaviour,
+        seed: int = 0,
+        record_run: Callable[[str], None] = lambda request_id: None,
+        record_search: Callable[[str], None] = lambda request_id: None,
+    ):
+        self._record_run = record_run
+        self._record_search = record_search
+        self.behaviour = behaviour
+        self.counters = Counters()
+        self._random = random.Random(seed)
+        self._active: set[Work] = set()
+        self.slots = Slots(behaviour)
+        self._fallen_until = 0.0
+        self._cold_since = 0.0
+        self._signal_at: float | None = None
+        self._cold_successes = 0
+        self._history: deque[tuple[float, str, int, int]] = deque(maxlen=HISTORY_KEPT)
+        if behaviour.cold:
+            self._become_cold(announced=True)
+        if behaviour.draining:
+            self.counters.drained_at_unix_ms = time.time() * MS
+        self._remember()
+
+    def apply(self, patch: dict) -> None:
+        """Change the behaviour.
+
+        :param patch: fields of ``Behaviour`` and, optionally, ``add_version`` and
+            ``remove_version``.
+        :raises msgspec.ValidationError: a field is unknown or has a wrong type.
+        """
+        fields = msgspec.structs.asdict(self.behaviour)
+        versions = list(fields["index_versions"])
+        rest = dict(patch)
+        if (added := rest.pop("add_version", None)) is not None:
+            versions = sorted({*versions, added})
+        if (removed := rest.pop("remove_version", None)) is not None:
+            versions = [version for version in versions if version != removed]
+        fields["index_versions"] = versions
+        was_draining = self.behaviour.draining
+        self.behaviour = msgspec.convert({**fields, **rest}, Behaviour)
+        if rest.get("cold"):
+            self._become_cold(announced=False)
+        if self.behaviour.draining and not was_draining:
+            self.counters.drained_at_unix_ms = time.time() * MS
+        self.slots.update(self.behaviour)
+        self._remember()
+
+    def _become_cold(self, announced: bool) -> None:
+        # A starting process announces its cold start by accepting new connections; a
+        # running one does so with its first cold answer.
+        now = time.monotonic()
+        self.behaviour.cold = True
+        self._cold_since = now
+        self._cold_successes = 0
+        grace = 0.0 if announced else float("inf")
+        self._signal_at = now + grace
+        self.counters.cold_since_unix_ms = time.time() * MS
+        for work in self._active:
+            work.after_signal = False
+
+    def _warm_up(self) -> None:
+        limit_ms = self.behaviour.warm_after_ms
+        elapsed_ms = (time.monotonic() - self._cold_since) * MS
+        by_time = limit_ms is not None and elapsed_ms >= limit_ms
+        by_count = self._cold_successes >= self.behaviour.warm_after_requests
+        if by_time or by_count:
+            self.behaviour.cold = False
+            self._remember()
+
+    def _fall_over(self) -> None:
+        self.counters.falls += 1
+        self._fallen_until = time.monotonic() + self.behaviour.fall_ms / MS
+        for work in self._active:
+            if not work.done.done():
+                work.done.set_result(False)
+        self._become_cold(announced=True)
+
+    @property
+    def state(self) -> str:
+        """State as the answers report it."""
+        if self.behaviour.draining:
+            return "draining"
+        if self.behaviour.cold:
+            self._warm_up()
+        if self.behaviour.cold and not self.behaviour.cold_hidden:
+            return "cold"
+        return "ready"
+
+    @property
+    def load(self) -> float:
+        """Load as the answers report it."""
+        if self.behaviour.load_says is not None:
+            return self.behaviour.load_says
+        return len(self._active) / max(1, self.behaviour.slots)
+
+    def note_answer(self) -> None:
+        """Record that an answer told the caller about a cold start."""
+        if self.behaviour.cold and self._signal_at == float("inf"):
+            grace_s = self.behaviour.signal_grace_ms / MS
+            self._signal_at = time.monotonic() + grace_s
+
+    def refuse(self, reason: Refusal) -> Refusal:
+        """Count a refusal.
+
+        :param reason: why the request is not run.
+        :returns: the reason.
+        """
+        counts = self.counters.refused
+        counts[reason] = counts.get(reason, 0) + 1
+        if reason == Refusal.DEADLINE:
+            self.counters.deadline_refusals += 1
+        return reason
+
+    def check(
+        self, index_version: int | None, deadline_unix_ms: float
+    ) -> Refusal | None:
+        """Decide whether a request may run.
+
+        :param index_version: version to read, None if the request needs none.
+        :param deadline_unix_ms: deadline in milliseconds of wall-clock time.
+        :returns: reason for a refusal, or None.
+        """
+        now = time.monotonic()
+        if now < self._fallen_until:
+            return self.refuse(Refusal.COLD)
+        behaviour = self.behaviour
+        if behaviour.draining and behaviour.drain_refuses:
+            return self.refuse(Refusal.DRAINING)
+        if index_version is not None and index_version not in behaviour.index_versions:
+            return self.refuse(Refusal.VERSION_GONE)
+        if time.time() * MS >= deadline_unix_ms:
+            return self.refuse(Refusal.DEADLINE)
+        if behaviour.cold and behaviour.cold_refuses:
+            self._warm_up()
+            if behaviour.cold and len(self._active) >= behaviour.cold_bears:
+                return self.refuse(Refusal.COLD)
+        return None
+
+    def start(self, request_id: str, shard: str | None) -> Work:
+        """Begin to work on a request.
+
+        :param request_id: id of the request.
+        :param shard: shard that is searched, None for a non-repeatable request.
+        :returns: the work; its ``done`` ends the service time.
+        """
+        if self.behaviour.cold:
+            self._warm_up()
+        work = Work(asyncio.get_running_loop().create_future(), self._is_after_signal())
+        self._active.add(work)
+        self._count_start(request_id, shard)
+        self._remember()
+        after = sum(one.after_signal for one in self._active)
+        if self.behaviour.cold:
+            counters = self.counters
+            counters.max_after_cold = max(counters.max_after_cold, after)
+            if after > self.behaviour.cold_bears:
+                self._fall_over()
+        delay_s = self._draw_service_s()
+        work.done.get_loop().call_later(delay_s, _complete, work)
+        return work
+
+    def _is_after_signal(self) -> bool:
+        if not self.behaviour.cold or self._signal_at is None:
+            return False
+        return time.monotonic() >= self._signal_at
+
+    def _draw_service_s(self) -> float:
+        behaviour = self.behaviour
+        jitter_ms = self._random.uniform(-behaviour.jitter_ms, behaviour.jitter_ms)
+        service_ms = max(0.0, behaviour.service_ms + jitter_ms)
+        if self._random.random() < behaviour.straggle_share:
+            service_ms *= behaviour.straggle_factor
+        if behaviour.cold:
+            service_ms *= behaviour.cold_factor
+        return service_ms / MS
+
+    def _count_start(self, request_id: str, shard: str | None) -> None:
+        counters = self.counters
+        now_unix_ms = time.time() * MS
+        counters.executed += 1
+        counters.first_start_unix_ms = counters.first_start_unix_ms or now_unix_ms
+        counters.last_start_unix_ms = now_unix_ms
+        counters.active = len(self._active)
+        counters.max_active = max(counters.max_active, len(self._active))
+        counters.started_after_drain += self.behaviour.draining
+        ids = counters.runs if shard is None else counters.searches
+        ids[request_id] = ids.get(request_id, 0) + 1
+        if shard is None:
+            self._record_run(request_id)
+        else:
+            self._record_search(request_id)
+            counters.shards[shard] = counters.shards.get(shard, 0) + 1
+            if len(ids) > SEARCH_IDS_KEPT:
+                del ids[next(iter(ids))]
+
+    def finish(self, work: Work, succeeded: bool) -> None:
+        """End the work on a request.
+
+        :param work: what ``start`` returned.
+        :param succeeded: True if the request was answered.
+        """
+        self._active.discard(work)
+        self.counters.active = len(self._active)
+        if succeeded and self.behaviour.cold:
+            self._cold_successes += 1
+            self._warm_up()
+        self._remember()
+
+    def take_misbehaviour(self) -> Misbehaviour | None:
+        """Return the fault of this answer, if any.
+
+        :returns: the fault, or None for a correct answer.
+        """
+        behaviour = self.behaviour
+        if behaviour.misbehaviour is None or behaviour.misbehaviour_count == 0:
+            return None
+        if behaviour.misbehaviour_count > 0:
+            behaviour.misbehaviour_count -= 1
+        return behaviour.misbehaviour
+
+    def _remember(self) -> None:
+        entry = (
+            time.monotonic(),
+            self.state,
+            len(self._active),
+            self.slots.waiting_count,
+        )
+        self._history.append(entry)
+
+    def report(self) -> tuple[str, int, int]:
+        """Return what ``/health`` and ``/load`` report, which may be old.
+
+        :returns: state, active and queued requests.
+        """
+        before = time.monotonic() - self.behaviour.health_lag_ms / MS
+        found = (self.state, len(self._active), self.slots.waiting_count)
+        if self.behaviour.health_lag_ms > 0:
+            old = [entry for entry in self._history if entry[0] <= before]
+            found = (old or list(self._history))[-1 if old else 0][1:]
+        state = self.behaviour.health_says or found[0]
+        active = found[1]
+        if self.behaviour.load_says is not None:
+            active = round(self.behaviour.load_says * self.behaviour.slots)
+        return state, active, found[2]
--- /dev/null
+++ b/tests/cli/command_case.py
@@ -0,0 +1,54 @@
+"""Base of the command tests: runs commands and starts fake daemons."""
+
+import contextlib
+import io
+import tempfile
+import unittest
+from pathlib import Path
+
+from celeryferry_cli._internal.command_line import run
+from tests.cli.fake_daemon import FakeDaemon
+
+CLOSED = "127.0.0.1:1"
+TOKEN = "0123456789abcdef"
+ANSWER = {
+    "query_id": "q1",
+    "application": "a",
+    "snapshot": 41,
+    "hits": [{"id": "r1", "score": 2.0, "record": {"x": 1}}],
+    "covered": [{"service": "s1", "shard": "s1"}],
+    "not_covered": [],
+    "complete": True,
+    "elapsed_ms": 1.5,
+}
+
+
+class CommandCase(unittest.TestCase):
+    """Base that runs commands and captures their output."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.token_file = self.folder / "token"
+        self.token_file.write_text(TOKEN)
+
+    def start_fake(self, **answers) -> FakeDaemon:
+        """Start a fake; names of answers are paths with ``_`` for ``/``."""
+        fake = FakeDaemon()
+        self.addCleanup(fake.close)
+        fake.answers.update(
+            {"/" + name.replace("_", "/"): answer for name, answer in answers.items()}
+        )
+        return fake
+
+    def run_command(self, *words: str) -> tuple[int, str]:
+        """Run a command and return its exit code and output."""
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output), contextlib.redirect_stderr(output):
+            code = run(words)
+        return code, output.getvalue()
+
+    def operate(self, *words: str) -> tuple[int, str]:
+        """Run an operator command."""
+        return self.run_command(*words, "--token-file", str(self.token_file))
--- /dev/null
+++ b/tests/core/test_coverage.py
@@ -0,0 +1,123 @@
+"""Tests of merging and coverage under any order, duplicates and foreign entries."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from celeryferry_core.coverage import merge_hits
+from celeryferry_core.mechanisms import Mechanisms
+from celeryferry_core.models.callers import Hit
+from celeryferry_core.models.messages import PartialEntry
+from tests.core.sessions import SessionRig, answer_entry, line, make_document
+
+HITS = st.builds(Hit, id=st.sampled_from("abcd"), score=st.floats(-5, 5))
+PARTS = st.lists(st.lists(HITS, max_size=4), max_size=5)
+KINDS = ("query", "version", "shard", "upstream", "repeat")
+NOISE = st.lists(st.sampled_from(KINDS), max_size=8)
+
+
+def make_noise(kind: str, action, index: int):
+    """Return the event of an entry that is not part of the answer."""
+    part = action.batch.subqueries[index % len(action.batch.subqueries)]
+    hits = '[{"id":"noise","score":99}]'
+    entry = answer_entry(part, hits=hits)
+    match kind:
+        case "query":
+            return line(action, [entry], final=False, query_id="q-0")
+        case "version":
+            entry = answer_entry(part, version=40, hits=hits)
+        case "shard":
+            entry = PartialEntry(part.service, "none", part.upstream, entry.outcome)
+        case "upstream":
+            entry = PartialEntry(part.service, part.shard, "z:1", entry.outcome)
+        case "repeat":
+            entry = answer_entry(part)
+    return line(action, [entry], final=False)
+
+
+class TestMergeHits(unittest.TestCase):
+    """Guards against an answer that depends on the order of arrival."""
+
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(
+        st.lists(st.lists(HITS, max_size=4), max_size=5),
+        st.randoms(use_true_random=False),
+    )
+    def test_order_does_not_matter(self, parts, shuffler):
+        merged = merge_hits(parts, None)
+        shuffled = [shuffler.sample(part, len(part)) for part in parts]
+        shuffler.shuffle(shuffled)
+        self.assertEqual(merge_hits(shuffled, None), merged)
+        keys = [(-hit.score, hit.id) for hit in merged]
+        self.assertEqual(keys, sorted(keys))
+        self.assertEqual(merge_hits(parts, 2), merged[:2])
+
+
+class TestCoverageTruth(unittest.TestCase):
+    """Guards against hits or coverage taken from what was not asked."""
+
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(NOISE, st.sets(st.integers(0, 3)), st.randoms(use_true_random=False))
+    def test_noise_changes_nothing(self, noise, silent, shuffler):
+        def script(action):
+            parts = list(enumerate(action.batch.subqueries))
+            events = [
+                line(action, [answer_entry(part)], final=False)
+                for number, part in parts
+                if number not in silent
+            ]
+            events += [make_noise(kind, action, n) for n, kind in enumerate(noise)]
+            shuffler.shuffle(events)
+            return [(1.0 + number, event) for number, event in enumerate(events)]
+
+        documents = [make_document(number) for number in range(4)]
+        rig = SessionRig(script, documents, mechanisms=Mechanisms(hedging=False))
+        outcome = rig.run(deadline_ms=90)
+        repeated = {n % 4 for n, kind in enumerate(noise) if kind == "repeat"}
+        expected = {f"svc-{n}" for n in set(range(4)) - silent | repeated}
+        if not expected:
+            self.assertEqual(str(outcome.ran), "unknown")
+            return
+        self.assertEqual({part.service for part in outcome.covered}, expected)
+        self.assertEqual([hit.id for hit in outcome.hits], sorted(expected))
+        self.assertEqual(len(outcome.covered) + len(outcome.not_covered), 4)
+
+
+class TestCoverageMechanisms(unittest.TestCase):
+    """Shows that the checks of entries prevent wrong answers."""
+
+    def _search(self, kind: str, mechanisms: Mechanisms):
+        def script(action):
+            noise = make_noise(kind, action, 0)
+            return [(1.0, noise), (2.0, line(action, []))]
+
+        documents = [make_document(1)]
+        return SessionRig(script, documents, mechanisms=mechanisms).run()
+
+    def test_snapshot_check_prevents_a_mixed_answer(self):
+        outcome = self._search("version", Mechanisms())
+        self.assertEqual(str(outcome.type), "no_coverage")
+        without = self._search("version", Mechanisms(snapshot_check=False))
+        self.assertEqual([hit.id for hit in without.hits], ["noise"])
+
+    def test_answer_match_prevents_a_foreign_answer(self):
+        for kind in ("query", "upstream"):
+            outcome = self._search(kind, Mechanisms())
+            self.assertEqual(str(outcome.type), "no_coverage")
+            without = self._search(kind, Mechanisms(answer_match=False))
+            self.assertEqual([hit.id for hit in without.hits], ["noise"])
+
+    def test_malformed_hits_are_not_covered(self):
+        def script(action):
+            parts = action.batch.subqueries
+            bad = [
+                answer_entry(part, hits='[{"id":7}]' if part.shard == "svc-1" else None)
+                for part in parts
+            ]
+            return [(1.0, line(action, bad))]
+
+        outcome = SessionRig(script).run()
+        self.assertEqual([part.service for part in outcome.covered], ["svc-2"])
+        reasons = [str(part.reason) for part in outcome.not_covered]
+        self.assertEqual(reasons, ["outcome_unknown"])
--- /dev/null
+++ b/tests/core/test_entry_hosts.py
@@ -0,0 +1,47 @@
+"""Which hosts a caller is told to use."""
+
+import random
+import unittest
+
+from celeryferry_core.entry_hosts import choose_entry_hosts
+from celeryferry_core.freshness import FRESH_TIME
+from celeryferry_core.models.messages import CellSummary
+from tests.core.test_freshness import NOW, make_table
+
+
+class TestEntryHosts(unittest.TestCase):
+    """Guards against callers that are sent to hosts that have stopped."""
+
+    def name_hosts(self, table, now):
+        """Return the ids of the hosts that a caller in tiznit-c is told to use."""
+        view = table.build(now)
+        chosen = choose_entry_hosts(view, (), "tiznit-c", random.Random(1))
+        return {host.host_id for host in chosen}
+
+    def make(self):
+        table = make_table()
+        table.record_summary(CellSummary("tiznit-c/0", 3, 0), NOW)
+        return table
+
+    def test_hosts_of_a_cell_that_was_heard_of_are_named(self):
+        named = self.name_hosts(self.make(), NOW)
+        self.assertEqual(named, {"agadir-a-0", *(f"tiznit-c-{n}" for n in range(3))})
+
+    def test_hosts_of_a_cell_that_fell_silent_are_not_named(self):
+        named = self.name_hosts(self.make(), NOW + FRESH_TIME)
+        self.assertEqual(named, {"agadir-a-0"})
+
+    def test_hosts_of_a_cell_that_is_heard_of_again_are_named(self):
+        table = self.make()
+        table.record_summary(CellSummary("tiznit-c/0", 3, 0), NOW + FRESH_TIME)
+        self.assertIn("tiznit-c-1", self.name_hosts(table, NOW + FRESH_TIME))
+
+    def test_silent_hosts_are_named_if_there_are_no_others(self):
+        table = self.make()
+        table.leaving = True
+        named = self.name_hosts(table, NOW + FRESH_TIME)
+        self.assertEqual(named, {f"tiznit-c-{number}" for number in range(3)})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/core/test_hedged_shards.py
@@ -0,0 +1,76 @@
+"""When and for what a query is hedged."""
+
+import unittest
+
+from celeryferry_core.budgets import Budgets
+from tests.core.sessions import SessionRig, answer_all, answer_entry, line, ms
+
+DELAY_MS = 25.0
+
+
+def make_straggle(flush_at_ms):
+    """Return a script whose first batch answers one of two shards in time.
+
+    :param flush_at_ms: time of the owner's first line.
+    """
+
+    def straggle(action):
+        if action.batch_id != 1:
+            return answer_all(action)
+        entries = [answer_entry(part) for part in action.batch.subqueries]
+        first = line(action, entries[:1], final=False)
+        return [(flush_at_ms, first), (90.0, line(action, entries[1:]))]
+
+    return straggle
+
+
+class TestHedgedShards(unittest.TestCase):
+    """Guards against hedges that come late, or for shards that have answered."""
+
+    def list_hedges(self, rig):
+        """Return the shards of each hedge and the time of its event."""
+        at_ms, found = 0.0, []
+        for part in rig.journal:
+            at_ms = part.get("at_ms", at_ms)
+            if part.get("decision") == "ShardHedged":
+                found.append((part["shard"], part["reason"], at_ms))
+        return found
+
+    def test_owner_reports_before_the_hedge_delay_is_over(self):
+        rig = SessionRig(answer_all)
+        rig.run()
+        self.assertLess(rig.batches[0].batch.first_flush_ms, DELAY_MS)
+
+    def test_only_the_late_shard_is_hedged_when_the_delay_is_over(self):
+        rig = SessionRig(make_straggle(20.0))
+        self.assertEqual(rig.run().elapsed_ms, DELAY_MS + 5.0)
+        hedges = [(shard, at_ms) for shard, _, at_ms in self.list_hedges(rig)]
+        self.assertEqual(hedges, [("svc-2", DELAY_MS)])
+
+    def test_late_line_of_a_busy_owner_does_not_hedge_the_whole_batch(self):
+        rig = SessionRig(make_straggle(29.0))
+        rig.run()
+        hedges = [(shard, at_ms) for shard, _, at_ms in self.list_hedges(rig)]
+        self.assertEqual(hedges, [("svc-2", 29.0)])
+
+    def test_next_query_avoids_the_replica_that_was_hedged(self):
+        rig = SessionRig(make_straggle(20.0), budgets=Budgets())
+        rig.run()
+        rig.batches.clear()
+        self.assertEqual(rig.run("q-2").elapsed_ms, 20.0)
+        asked = [p.upstream for b in rig.batches for p in b.batch.subqueries]
+        self.assertNotIn("a:902", asked)
+        self.assertIn("a:901", asked)
+
+    def test_avoided_replica_is_asked_again_later(self):
+        rig = SessionRig(make_straggle(20.0), budgets=Budgets())
+        rig.run()
+        rig.now += ms(1500)
+        rig.batches.clear()
+        rig.run("q-2")
+        asked = [part.upstream for part in rig.batches[0].batch.subqueries]
+        self.assertIn("a:902", asked)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/core/test_limits.py
@@ -0,0 +1,230 @@
+"""Tests of the concurrency limit of one upstream."""
+
+import unittest
+from datetime import timedelta
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from celeryferry_core.limits import LimitCause, UpstreamLimit
+from celeryferry_core.mechanisms import Mechanisms
+from celeryferry_core.models.outcomes import NotRunReason, UpstreamState
+from celeryferry_core.models.topology import UpstreamLimits
+from celeryferry_core.surplus import choose_surplus
+
+MS = timedelta(milliseconds=1)
+SECOND = timedelta(seconds=1)
+
+
+def make_limit(slots=4, **switches):
+    limits = UpstreamLimits(slots=slots, connections=80, cold_limit=1)
+    return UpstreamLimit(limits, Mechanisms(**switches))
+
+
+def succeed(limit, count, latency=10 * MS):
+    for _ in range(count):
+        limit.record_success(limit.epoch, latency)
+
+
+class TestGrowth(unittest.TestCase):
+    """Guards against a limit that grows without proof from the owner's own answers."""
+
+    def test_starts_cold_and_grows_by_one_after_eight_times_the_limit(self):
+        limit = make_limit()
+        self.assertEqual(limit.limit, 1)
+        succeed(limit, 7)
+        self.assertEqual(limit.limit, 1)
+        succeed(limit, 1)
+        self.assertEqual(limit.limit, 2)
+        succeed(limit, 16 + 24 + 100)
+        self.assertEqual(limit.limit, 4)
+
+    def test_answers_to_work_sent_before_a_cold_signal_do_not_count(self):
+        limit = make_limit()
+        epoch = limit.epoch
+        limit.record_negative(LimitCause.COLD, SECOND)
+        for _ in range(20):
+            limit.record_success(epoch, 10 * MS)
+        self.assertEqual(limit.limit, 1)
+        self.assertIs(limit.status.state, UpstreamState.COLD)
+
+    def test_steps_that_fail_need_twice_as_many_successes_next_time(self):
+        limit = make_limit()
+        needed = []
+        for _ in range(4):
+            count = 0
+            while limit.limit == 1:
+                succeed(limit, 1)
+                count += 1
+            needed.append(count)
+            limit.record_negative(LimitCause.RESTARTED, SECOND)
+            limit.record_negative(LimitCause.RESTARTED, SECOND)
+        self.assertEqual(needed, [8, 16, 32, 64])
+        succeed(limit, 10_000)
+        limit.record_negative(LimitCause.COLD, SECOND)
+        succeed(limit, 8)
+        self.assertEqual(limit.limit, 2)
+
+    def test_a_ready_health_answer_never_raises_the_limit(self):
+        limit = make_limit()
+        for poll in range(100):
+            at = poll * SECOND
+            limit.record_health(UpstreamState.READY, at, at)
+        self.assertEqual(limit.limit, 1)
+        self.assertIs(limit.status.state, UpstreamState.COLD)
+
+
+class TestNegativeSignals(unittest.TestCase):
+    """Guards against work in excess of the cold limit after a negative signal."""
+
+    def test_each_signal_drops_the_limit_at_once(self):
+        for cause in (
+            LimitCause.COLD,
+            LimitCause.DRAINING,
+            LimitCause.SHEDDING,
+            LimitCause.UNREACHABLE,
+            LimitCause.RESTARTED,
+        ):
+            limit = make_limit()
+            succeed(limit, 100)
+            change = limit.record_negative(cause, SECOND)
+            self.assertEqual((change.before, change.after), (4, 1), cause)
+
+    def test_without_the_cold_limit_the_signal_changes_nothing(self):
+        limit = make_limit(cold_limit=False)
+        limit.record_negative(LimitCause.COLD, SECOND)
+        self.assertEqual(limit.limit, 4)
+
+    def test_a_latency_step_drops_the_limit_once(self):
+        limit = make_limit()
+        succeed(limit, 100)
+        succeed(limit, 8, 200 * MS)
+        self.assertEqual(limit.limit, 1)
+        succeed(limit, 200, 200 * MS)
+        self.assertEqual(limit.limit, 4)
+
+    def test_single_straggling_answers_are_no_step(self):
+        limit = make_limit()
+        for _ in range(50):
+            succeed(limit, 19)
+            succeed(limit, 1, 100 * MS)
+        self.assertEqual(limit.limit, 4)
+
+    def test_surplus_is_the_latest_work_that_may_be_cancelled(self):
+        self.assertEqual(choose_surplus([True, True, False, True], 2), (3, 1))
+        self.assertEqual(choose_surplus([False, False], 1), ())
+        self.assertEqual(choose_surplus([True], 1), ())
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(st.lists(st.one_of(st.sampled_from(LimitCause), st.integers(1, 60))))
+    def test_any_sequence_keeps_the_limit_between_cold_limit_and_slots(self, events):
+        limit = make_limit()
+        for position, event in enumerate(events):
+            if isinstance(event, int):
+                succeed(limit, event)
+            else:
+                limit.record_negative(event, position * SECOND)
+                self.assertEqual(limit.limit, 1)
+            self.assertTrue(1 <= limit.limit <= 4)
+
+
+class TestUnreachable(unittest.TestCase):
+    """Guards against a stream of attempts at an upstream that is down."""
+
+    def test_trials_are_single_and_back_off(self):
+        limit = make_limit()
+        now = SECOND
+        pauses = []
+        for _ in range(8):
+            limit.record_negative(LimitCause.UNREACHABLE, now)
+            pauses.append((limit.status.resume_at - now) / MS)
+            self.assertFalse(limit.may_start(now, 0))
+            now = limit.status.resume_at
+            self.assertTrue(limit.may_start(now, 0))
+            self.assertFalse(limit.may_start(now, 1))
+        self.assertEqual(pauses, [100, 200, 400, 800, 1600, 3200, 5000, 5000])
+
+    def test_a_refused_health_poll_postpones_the_trial(self):
+        limit = make_limit()
+        limit.record_health(UpstreamState.UNREACHABLE, SECOND, SECOND)
+        refusal = limit.refuse(SECOND, 0, 0, SECOND)
+        self.assertIs(refusal.reason, NotRunReason.UNREACHABLE)
+        self.assertEqual(refusal.retry_after_ms, 600)
+        later = SECOND + 600 * MS
+        self.assertIs(limit.status.reported(later), UpstreamState.COLD)
+
+
+class TestDrain(unittest.TestCase):
+    """Guards against new work on a leaving upstream."""
+
+    def test_answers_do_not_end_a_drain(self):
+        limit = make_limit()
+        succeed(limit, 100)
+        limit.record_negative(LimitCause.DRAINING, SECOND)
+        succeed(limit, 100)
+        refusal = limit.refuse(SECOND, 0, 0, SECOND)
+        self.assertIs(refusal.reason, NotRunReason.DRAINING)
+
+    def test_two_later_health_answers_end_it_at_the_cold_limit(self):
+        limit = make_limit()
+        succeed(limit, 100)
+        limit.record_negative(LimitCause.DRAINING, SECOND)
+        delayed = limit.record_health(UpstreamState.READY, SECOND, 2 * SECOND)
+        self.assertIsNone(delayed)
+        limit.record_health(UpstreamState.READY, 2 * SECOND, 2 * SECOND)
+        self.assertTrue(limit.status.is_draining)
+        change = limit.record_health(UpstreamState.READY, 3 * SECOND, 3 * SECOND)
+        self.assertIs(change.cause, LimitCause.DRAIN_ENDED)
+        self.assertEqual((limit.limit, limit.status.is_draining), (1, False))
+
+    def test_wrong_health_answers_are_needed_twice_as_often(self):
+        limit = make_limit()
+        now = SECOND
+        polls = []
+        for _ in range(3):
+            limit.record_refusal(LimitCause.DRAINING, now)
+            count = 0
+            while limit.status.is_draining:
+                now += SECOND
+                limit.record_health(UpstreamState.READY, now, now)
+                count += 1
+            polls.append(count)
+        self.assertEqual(polls, [2, 4, 8])
+
+
+class TestAdmission(unittest.TestCase):
+    """Guards against a queue that grows or holds work that cannot finish in time."""
+
+    def test_the_queue_is_bounded(self):
+        limit = make_limit()
+        refusal = limit.refuse(SECOND, 1, limit.queue_bound, 60 * SECOND)
+        self.assertIs(refusal.reason, NotRunReason.COLD)
+
+    def test_late_work_is_refused_early_with_a_retry_time(self):
+        limit = make_limit()
+        succeed(limit, 100)
+        self.assertIsNone(limit.refuse(SECOND, 4, 0, 21 * MS))
+        refusal = limit.refuse(SECOND, 4, 8, 21 * MS)
+        self.assertIs(refusal.reason, NotRunReason.OVERLOADED)
+        self.assertGreater(refusal.retry_after_ms, 0)
+
+    def test_each_switch_leaves_out_its_refusal_only(self):
+        late = (SECOND, 4, 8, 21 * MS)
+        full = (SECOND, 4, make_limit().queue_bound, 60 * SECOND)
+        for switch, accepted, refused in (
+            ("early_refusal", late, full),
+            ("queue_bound", full, late),
+        ):
+            limit = make_limit(**{switch: False})
+            succeed(limit, 100)
+            self.assertIsNone(limit.refuse(*accepted), switch)
+            self.assertIsNotNone(limit.refuse(*refused), switch)
+
+    def test_an_idle_upstream_gets_work_despite_a_high_estimate(self):
+        limit = make_limit()
+        succeed(limit, 100, SECOND)
+        self.assertIsNone(limit.refuse(SECOND, 0, 0, 10 * MS))
+
+    def test_work_past_its_deadline_is_refused(self):
+        refusal = make_limit().refuse(SECOND, 0, 0, timedelta(0))
+        self.assertIs(refusal.reason, NotRunReason.DEADLINE)
