--- /dev/null
+++ b/tests/core/test_search_routing.py
@@ -0,0 +1,203 @@
+"""Tests of the replicas and the snapshot that a search session chooses."""
+
+import random
+import unittest
+
+from celeryferry_core.mechanisms import Mechanisms
+from celeryferry_core.models.callers import SearchAnswer
+from celeryferry_core.models.outcomes import (
+    NotRunReason,
+    UpstreamState,
+)
+from celeryferry_core.models.topology import Replica, Shard
+from celeryferry_core.models.views import Membership
+from celeryferry_core.routing import Router
+from celeryferry_core.search_events import PlanReplaced
+from celeryferry_core.snapshots import UpstreamCatalog, choose_snapshot
+from tests.core.sessions import (
+    HOSTS,
+    SessionRig,
+    answer_all,
+    make_document,
+    ms,
+    observe,
+    refuse,
+    upstreams_of,
+)
+
+
+class TestRouting(unittest.TestCase):
+    """Guards against new work where none may go."""
+
+    def _asked_domains(self, **options):
+        rig = SessionRig(answer_all, **options)
+        rig.run()
+        return {address[0] for address in upstreams_of(rig)}
+
+    def test_domain_out_gets_no_work(self):
+        documents = [make_document(1, failure_domains_out=("a",))]
+        self.assertNotIn("a", self._asked_domains(documents=documents))
+        without = Mechanisms(domain_out=False)
+        domains = self._asked_domains(documents=documents, mechanisms=without)
+        self.assertEqual(domains, {"a"})
+
+    def test_leaving_upstream_gets_no_work(self):
+        leaving = frozenset({"a:901", "a:902"})
+        self.assertNotIn("a", self._asked_domains(leaving=leaving))
+
+    def test_draining_and_unreachable_upstreams_get_no_work(self):
+        for state in (UpstreamState.DRAINING, UpstreamState.UNREACHABLE):
+            rig = SessionRig(answer_all)
+            for address in ("a:901", "a:902"):
+                rig.router.catalog.record(observe(address, (41,), state=state))
+            rig.run()
+            self.assertNotIn("a", {address[0] for address in upstreams_of(rig)})
+            self.assertTrue(rig.outcome.complete)
+
+    def test_slow_own_domain_is_left_but_explored(self):
+        rig = SessionRig(answer_all, [make_document(1)])
+        rig.router.catalog.record(observe("a:901", (41,), latency_ms=60.0))
+        for _ in range(400):
+            rig.run()
+        local = upstreams_of(rig).count("a:901")
+        self.assertTrue(1 <= local <= 20, local)
+
+    def test_domain_taken_out_during_a_query_gets_no_retry(self):
+        plan = SessionRig(answer_all, [make_document(1, failure_domains_out=("b",))])
+        replaced = PlanReplaced(plan.plan)
+
+        def script(action):
+            if action.host.failure_domain == "a":
+                refused = refuse(action, NotRunReason.COLD)
+                return [(1.0, replaced), *refused]
+            return answer_all(action)
+
+        for seed in range(8):
+            router = Router("a", random.Random(seed))
+            rig = SessionRig(script, [make_document(1)], router=router)
+            self.assertTrue(rig.run().complete)
+            self.assertEqual(upstreams_of(rig), ["a:901", "c:901"])
+
+    def test_all_domains_out_is_stated(self):
+        documents = [make_document(1, failure_domains_out=("a", "b", "c"))]
+        outcome = SessionRig(answer_all, documents).run()
+        self.assertIn("failure_domain_out", outcome.message)
+        self.assertEqual(str(outcome.ran), "no")
+
+
+class TestSnapshots(unittest.TestCase):
+    """Guards against a pin that some shard cannot serve."""
+
+    def _choose(self, versions, shards=None):
+        catalog = UpstreamCatalog()
+        for address, held in versions.items():
+            catalog.record(observe(address, held))
+        shards = shards or [(Shard(name, ()), (name,)) for name in versions]
+        return choose_snapshot(shards, catalog)
+
+    def test_newest_common_version(self):
+        choice = self._choose({"s1": (41, 42), "s2": (40, 41)})
+        self.assertEqual((choice.version, choice.is_full), (41, True))
+
+    def test_most_covering_version_without_a_common_one(self):
+        choice = self._choose({"s1": (41,), "s2": (41,), "s3": (42,)})
+        self.assertEqual((choice.version, choice.available_count), (41, 2))
+
+    def test_shard_map_belongs_to_the_snapshot(self):
+        old = Shard("old", (), 0, 41)
+        new = Shard("new", (), 42)
+        shards = [(old, ("u1",)), (new, ("u2",))]
+        choice = self._choose({"u1": (41,), "u2": (42,)}, shards)
+        self.assertEqual((choice.version, choice.shard_count), (42, 1))
+
+    def test_unknown_versions_give_no_snapshot(self):
+        outcome = SessionRig(answer_all, versions=()).run()
+        self.assertIn("no_snapshot", outcome.message)
+        self.assertEqual(str(outcome.ran), "no")
+
+    def test_version_of_a_lost_domain_is_not_pinned(self):
+        rig = SessionRig(answer_all)
+        for address in ("c:901", "c:902"):
+            rig.router.catalog.record(observe(address, (41, 42)))
+        self.assertEqual(rig.run().snapshot, 42)
+        membership = Membership(HOSTS, frozenset({"a-1", "b-1"}))
+        rig.router.directory.replace_membership(membership)
+        rig.now += ms(100)
+        outcome = rig.run()
+        self.assertEqual((outcome.snapshot, outcome.complete), (41, True))
+
+    def test_version_of_an_unsettled_key_is_not_pinned(self):
+        rig = SessionRig(answer_all)
+        for address in ("c:901", "c:902"):
+            rig.router.catalog.record(observe(address, (41, 42)))
+        for key in rig.plan.keys:
+            if key.endswith("/c"):
+                rig.router.mark_unsettled(key, rig.now)
+        self.assertEqual(rig.run().snapshot, 41)
+
+    def test_empty_observation_keeps_known_versions(self):
+        catalog = UpstreamCatalog()
+        catalog.record(observe("u1", (41,)))
+        catalog.record(observe("u1", ()))
+        self.assertTrue(catalog.holds("u1", 41))
+
+
+class TestUnknownVersions(unittest.TestCase):
+    """Guards against shards given up although unasked replicas may hold the version."""
+
+    @staticmethod
+    def _make_rig(script, others=()):
+        rig = SessionRig(script, [make_document(1)], versions=others)
+        rig.router.catalog.record(observe("a:901", (41,)))
+        return rig
+
+    @staticmethod
+    def _lose_first(action):
+        if action.host.failure_domain == "a":
+            return refuse(action, NotRunReason.UNREACHABLE)
+        return answer_all(action)
+
+    def test_replicas_of_unknown_versions_are_asked_last(self):
+        rig = self._make_rig(self._lose_first)
+        outcome = rig.run()
+        self.assertTrue(outcome.complete)
+        self.assertEqual(upstreams_of(rig)[0], "a:901")
+        self.assertEqual(len(upstreams_of(rig)), 2)
+
+    def test_replica_that_lacks_the_version_costs_only_a_refusal(self):
+        def script(action):
+            match action.host.failure_domain:
+                case "a":
+                    return refuse(action, NotRunReason.UNREACHABLE)
+                case "b":
+                    gone = NotRunReason.VERSION_GONE
+                    return refuse(action, gone, index_versions=(40,))
+            return answer_all(action)
+
+        for seed in range(4):
+            rig = self._make_rig(script)
+            rig.router.random.seed(seed)
+            outcome = rig.run()
+            self.assertTrue(outcome.complete)
+            self.assertEqual(outcome.snapshot, 41)
+
+    def test_replica_known_to_lack_the_version_is_not_asked(self):
+        rig = self._make_rig(self._lose_first, others=(40,))
+        outcome = rig.run()
+        self.assertEqual(set(upstreams_of(rig)), {"a:901"})
+        self.assertNotIsInstance(outcome, SearchAnswer)
+
+
+class TestRepartitioning(unittest.TestCase):
+    """Guards against a query that mixes two shard maps."""
+
+    def test_only_shards_of_the_pin_are_asked(self):
+        old = Shard("old", (Replica("a:901", "a"),), 0, 41)
+        new = Shard("new", (Replica("a:902", "a"),), 42)
+        document = make_document(1, shards=(old, new))
+        router = Router("a", random.Random(1))
+        rig = SessionRig(answer_all, [document], (41,), router=router)
+        router.catalog.record(observe("a:902", (42,)))
+        outcome = rig.run()
+        self.assertEqual(outcome.snapshot, 42)
+        self.assertEqual([part.shard for part in outcome.covered], ["new"])
--- /dev/null
+++ b/tests/daemon/fakes.py
@@ -0,0 +1,78 @@
+"""Fakes that several tests of the daemon share, and a listener for them."""
+
+import asyncio
+import time
+from datetime import UTC, datetime, timedelta
+
+from aiohttp import web
+
+
+async def wait_for(condition, seconds=5.0):
+    """Poll a condition until it holds, and fail after a bound."""
+    end = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError("condition did not hold in time")
+        await asyncio.sleep(0.002)
+
+
+class SystemClock:
+    """Real time."""
+
+    def monotonic(self):
+        return timedelta(seconds=time.monotonic())
+
+    def wall(self):
+        return datetime.now(UTC)
+
+
+class FakeLeases:
+    """Leases that a test sets.
+
+    :ivar seconds: a lease lasts as long from now; None if none is held.
+    :ivar until: fixed monotonic end of the lease, in place of ``seconds``.
+    """
+
+    def __init__(self):
+        self.seconds = 60.0
+        self.until = None
+        self.holder = "host-1"
+
+    def expires_at(self, key):
+        if self.seconds is None:
+            return None
+        if self.until is not None:
+            return self.until
+        return timedelta(seconds=time.monotonic() + self.seconds)
+
+    def holder_of(self, key):
+        return self.holder
+
+
+class FakeGate:
+    """Freshness gate that a test sets."""
+
+    def __init__(self):
+        self.is_open = True
+
+    def may_act(self):
+        return self.is_open
+
+
+class ListLog(list):
+    """Log that keeps the decisions."""
+
+    record = list.append
+
+    def of_type(self, kind):
+        return [decision for decision in self if isinstance(decision, kind)]
+
+
+async def listen(app, port=0):
+    """Serve an application, by default on a port of the kernel's choice."""
+    runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", port)
+    await site.start()
+    host, port = runner.addresses[0][:2]
+    return runner, f"{host}:{port}"
--- /dev/null
+++ b/tests/daemon/test_membership.py
@@ -0,0 +1,194 @@
+"""Tests of leases, liveness and pauses across daemons."""
+
+import asyncio
+import time
+import unittest
+
+import aiohttp
+
+from celeryferry_core.leases import LEASE
+from celeryferry_core.models.messages import SAME_DIGEST, ProbeRequest
+from celeryferry_daemon._internal.membership.host_list import HostListReader
+from celeryferry_standins.host_list import HostList, ListedHost
+from celeryferry_standins.serving import ANY_PORT
+from tests.daemon.fleet import DOMAINS, Fleet, RecordingLog, make_text, wait_until
+
+NAME = "survey-desk-01"
+KEY = "survey-desk/0/agadir-a"
+
+
+def holders(daemons):
+    return [d for d in daemons if d.control.keeper.expires_at(KEY) is not None]
+
+
+async def start_cell(fleet, size=3):
+    await fleet.outside.put(NAME, make_text(1))
+    daemons = await fleet.start(size, ("agadir-a",))
+    await wait_until(lambda: holders(daemons))
+    return daemons
+
+
+class TestOwnership(unittest.IsolatedAsyncioTestCase):
+    """Guards against keys without an owner and keys with two."""
+
+    async def test_killed_holder_is_replaced_after_its_lease(self):
+        async with Fleet() as fleet:
+            daemons = await start_cell(fleet)
+            holder = holders(daemons)[0]
+            await holder._tasks.stop()
+            await holder._stop()
+            rest = [d for d in daemons if d is not holder]
+            await wait_until(lambda: holders(rest), 6.0)
+            self.assertEqual(len(holders(rest)), 1)
+
+    async def test_newly_started_better_host_takes_over_without_overlap(self):
+        async with Fleet() as fleet:
+            daemons = await start_cell(fleet)
+            first = holders(daemons)[0]
+            first.control.table.leaving = True
+            first.control.prober.kick()
+            rest = [d for d in daemons if d is not first]
+            await wait_until(lambda: holders(rest), 4.0)
+            first.control.table.leaving = False
+            most = 0
+            while not holders([first]):
+                most = max(most, len(holders(daemons)))
+                await asyncio.sleep(0.01)
+            self.assertLessEqual(most, 1)
+
+    async def test_pause_drops_leases_and_freshness_before_anything_else(self):
+        async with Fleet() as fleet:
+            daemons = await start_cell(fleet)
+            holder = holders(daemons)[0]
+            self.assertTrue(holder.control.gate.may_act())
+            # Blocks the event loop of the whole fleet, as SIGSTOP does.
+            time.sleep(LEASE.total_seconds() / 2)  # noqa: ASYNC251
+            self.assertIsNone(holder.control.keeper.expires_at(KEY))
+            self.assertFalse(holder.control.gate.may_act())
+            await wait_until(lambda: holders(daemons))
+            await wait_until(holder.control.gate.may_act)
+
+
+class TestHostList(unittest.IsolatedAsyncioTestCase):
+    """Guards against a fleet that follows the host list blindly."""
+
+    async def test_added_and_removed_hosts_are_taken_over_and_an_empty_list_is_not(
+        self,
+    ):
+        async with Fleet() as fleet:
+            daemons = await start_cell(fleet, 2)
+            hosts = fleet.outside.hosts
+            fleet.outside.hosts = []
+            await wait_until(
+                lambda: "HostListFailed" in fleet.logs["agadir-a-0"].names()
+            )
+            membership = daemons[0].streams.membership
+            self.assertEqual(len(membership.value.hosts), 2)
+            fleet.outside.hosts = [*hosts, {**hosts[0], "host_id": "new"}]
+            await wait_until(lambda: "new" in membership.value.hosts)
+            fleet.outside.hosts = hosts
+            await wait_until(lambda: "new" not in membership.value.hosts)
+
+    async def test_membership_is_published_only_when_it_changed(self):
+        async with Fleet() as fleet:
+            daemons = await start_cell(fleet, 2)
+            views = []
+            daemons[0].streams.membership.subscribe(views.append)
+            await wait_until(lambda: len(views[-1].live) == 2)
+            count = len(views)
+            rounds = daemons[0].control.keeper._holder._sequence
+            await wait_until(
+                lambda: daemons[0].control.keeper._holder._sequence > rounds + 3
+            )
+            self.assertEqual(len(views), count)
+
+
+class TestProbes(unittest.IsolatedAsyncioTestCase):
+    """Guards against probes that repeat what their receiver knows or lack the rest."""
+
+    async def test_probe_between_settled_hosts_of_a_cell_is_small(self):
+        async with Fleet() as fleet:
+            daemons = await start_cell(fleet)
+            await wait_until(lambda: all(d.ready.is_set() for d in daemons))
+            await asyncio.sleep(2 * LEASE.total_seconds())
+            rest = next(d for d in daemons if not holders([d]))
+            totals = rest._peers.traffic.totals["/peer/v1/probe"]
+            before = totals.calls, totals.sent_bytes + totals.received_bytes
+            await asyncio.sleep(1.2)
+            body_bytes = totals.sent_bytes + totals.received_bytes - before[1]
+            self.assertLess(body_bytes / (totals.calls - before[0]), 220)
+
+    async def test_reply_leaves_out_only_what_the_sender_has(self):
+        async with Fleet() as fleet:
+            await fleet.outside.put(NAME, make_text(1))
+            near, _, far, *_ = await fleet.start(2, DOMAINS[:2])
+            await wait_until(lambda: near.ready.is_set() and far.ready.is_set())
+            digest = near.streams.configuration.value.digest
+            prober = near.control.prober
+
+            def ask(host_id, digest):
+                probe = ProbeRequest(host_id, "another", digest, sequence=1)
+                reply = prober.answer(probe)
+                return reply.config_digest, {one.cell for one in reply.cells}
+
+            own, other = near.control.table.own_cell, far.control.table.own_cell
+            await wait_until(lambda: other in ask("agadir-a-1", "")[1])
+            self.assertEqual(ask("agadir-a-1", digest), (SAME_DIGEST, {other}))
+            self.assertEqual(ask("agadir-a-1", ""), (digest, {other}))
+            self.assertEqual(ask("taroudant-b-0", "old")[0], digest)
+            self.assertIn(own, ask("taroudant-b-0", "old")[1])
+
+
+class TestConditionalReads(unittest.IsolatedAsyncioTestCase):
+    """Guards against full reads of an unchanged list, and against missed changes."""
+
+    async def asyncSetUp(self):
+        self.standin, self.lists, self.log = HostList(), [], RecordingLog()
+        addresses = await self.standin.open(ANY_PORT)
+        self.addAsyncCleanup(self.standin.close)
+        self.control_url = f"http://{addresses['control_address']}/control"
+        self.reader = HostListReader(addresses["address"], self.lists.append, self.log)
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+
+    async def change(self, count, **fields):
+        listed = [ListedHost(f"h{n}", "a", f"c{n}", f"p{n}") for n in range(count)]
+        hosts = [{f: getattr(h, f) for f in h.__struct_fields__} for h in listed]
+        change = {"hosts": hosts, **fields}
+        async with self.session.post(self.control_url, json=change) as response:
+            self.assertEqual(response.status, 200)
+
+    async def read(self):
+        before = self.standin.exchanged_bytes
+        await self.reader._read_once(self.session)
+        return self.standin.exchanged_bytes - before
+
+    async def test_unchanged_list_is_not_sent_again(self):
+        await self.change(2200)
+        self.assertGreater(await self.read(), 100_000)
+        self.assertLess(await self.read(), 600)
+        self.assertTrue(self.reader.has_read.is_set())
+        self.assertEqual(len(self.lists), 1)
+        await self.change(2199)
+        await self.read()
+        self.assertEqual([len(one.hosts) for one in self.lists], [2200, 2199])
+
+    async def test_unchanged_list_ends_a_failure(self):
+        await self.change(2)
+        await self.read()
+        for _ in range(2):
+            await self.change(0)
+            await self.read()
+            await self.change(2)
+            await self.read()
+        self.assertEqual(self.log.names(), ["HostListFailed"] * 2)
+        self.assertEqual(len(self.lists), 1)
+
+    async def test_server_without_validator_is_read_in_full(self):
+        await self.change(2)
+        await self.read()
+        await self.change(2, with_etag=False)
+        await self.read()
+        await self.read()
+        self.assertEqual(len(self.lists), 3)
+        self.assertEqual(self.log.names(), [])
--- /dev/null
+++ b/tests/daemon/test_owner_limits.py
@@ -0,0 +1,127 @@
+"""Tests of the owner with an upstream that is cold, draining or given other limits."""
+
+import asyncio
+import time
+
+from celeryferry_core.decisions.owner import LimitChanged, SurplusCancelled
+from celeryferry_core.limits import LimitCause
+from celeryferry_core.models.outcomes import (
+    Answered,
+    NotRun,
+    NotRunReason,
+    OutcomeUnknown,
+    RunAnswered,
+    UnknownReason,
+    UpstreamState,
+)
+from tests.daemon.fakes import wait_for
+from tests.daemon.owner_fakes import OwnerTestCase, make_view
+
+
+class TestColdStart(OwnerTestCase):
+    """Guards against a cold upstream that collapses under its owner's work."""
+
+    async def test_work_never_exceeds_the_cold_limit_after_the_signal(self):
+        rig, upstream = await self.make()
+        upstream.state = "cold"
+        await rig.search(count=20)
+        self.assertEqual((upstream.most_active, rig.observe().limit), (1, 1))
+
+    async def test_without_the_cold_limit_it_gets_all_slots(self):
+        rig, upstream = await self.make(cold_limit=False)
+        upstream.state = "cold"
+        upstream.gate.clear()
+        task = asyncio.create_task(rig.search(count=20))
+        await wait_for(lambda: upstream.active == 4)
+        upstream.gate.set()
+        await task
+        self.assertEqual(upstream.most_active, 4)
+
+    async def test_the_signal_cancels_surplus_searches_but_no_run(self):
+        rig, upstream = await self.make()
+        await rig.warm(upstream, 4)
+        upstream.gate.clear()
+        run = asyncio.create_task(rig.run())
+        await wait_for(lambda: upstream.active == 1)
+        search = asyncio.create_task(rig.search(count=3))
+        await wait_for(lambda: upstream.active == 4)
+        upstream.health = "cold"
+        (line,) = await search
+        cancelled = OutcomeUnknown(UnknownReason.CANCELLED)
+        self.assertEqual({entry.outcome for entry in line.entries}, {cancelled})
+        upstream.gate.set()
+        self.assertIsInstance(await run, RunAnswered)
+        self.assertEqual(rig.log.of_type(SurplusCancelled)[0].cancelled, 3)
+
+    async def test_cold_refusals_keep_work_only_while_it_can_finish(self):
+        rig, upstream = await self.make()
+        upstream.refusal = (503, "cold")
+        started = time.monotonic()
+        (line,) = await rig.search(count=10, timeout=0.5)
+        self.assertLess(time.monotonic() - started, 1.0)
+        # All work has one deadline and the limit is one, so the refusal of at most one
+        # request may be on its way when the deadline passes.
+        reasons = [entry.outcome.reason for entry in line.entries]
+        self.assertLessEqual(reasons.count(UnknownReason.TIMEOUT), 1)
+        expected = {NotRunReason.COLD, NotRunReason.DEADLINE, UnknownReason.TIMEOUT}
+        self.assertLessEqual(set(reasons), expected)
+        self.assertEqual(len(reasons), 10)
+        self.assertEqual(upstream.executions, [])
+
+    async def test_a_quick_restart_of_an_idle_upstream_is_noticed(self):
+        rig, upstream = await self.make()
+        await rig.warm(upstream, 4)
+        polls = upstream.polls
+        await wait_for(lambda: upstream.polls > polls + 1)
+        self.assertEqual(rig.observe().limit, 4)
+        await upstream.restart()
+        await wait_for(lambda: rig.observe().limit == 1)
+        (change,) = [c for c in rig.log.of_type(LimitChanged) if c.after < c.before]
+        self.assertIs(change.cause, LimitCause.RESTARTED)
+
+
+class TestConfiguration(OwnerTestCase):
+    """Guards against limits of an old document staying in effect."""
+
+    async def test_changed_limits_apply_to_a_running_worker(self):
+        rig, upstream = await self.make()
+        await rig.warm(upstream, 4)
+        view = make_view(rig.addresses, version=2, slots=2, connections=3)
+        rig.streams.configuration.on_next(view)
+        self.assertEqual(rig.observe().limit, 2)
+        self.assertIsInstance(await rig.search_one(), Answered)
+
+
+class TestDrain(OwnerTestCase):
+    """Guards against work on a draining upstream, and against losing it for good."""
+
+    async def test_drain_refusal_stops_work_until_health_is_ready(self):
+        rig, upstream = await self.make()
+        await rig.warm(upstream, 2)
+        upstream.state = "draining"
+        upstream.refusal = (503, "draining")
+        self.assertEqual(await rig.search_one(), NotRun(NotRunReason.DRAINING))
+        upstream.refusal = None
+        self.assertEqual(await rig.search_one(), NotRun(NotRunReason.DRAINING))
+        self.assertEqual(upstream.executions, [])
+        upstream.state = "ready"
+        await wait_for(lambda: rig.observe().state is not UpstreamState.DRAINING)
+        self.assertEqual(rig.observe().limit, 1)
+        self.assertIsInstance(await rig.search_one(), Answered)
+
+    async def test_new_owner_learns_of_a_drain_before_it_sends(self):
+        rig, upstream = await self.make(state="draining")
+        self.assertEqual(await rig.search_one(), NotRun(NotRunReason.DRAINING))
+        self.assertEqual(upstream.executions, [])
+
+    async def test_work_in_flight_finishes_when_a_drain_begins(self):
+        rig, upstream = await self.make()
+        await rig.warm(upstream, 2)
+        upstream.gate.clear()
+        task = asyncio.create_task(rig.search(count=2))
+        await wait_for(lambda: upstream.active == 2)
+        upstream.health = "draining"
+        await wait_for(lambda: rig.observe().state is UpstreamState.DRAINING)
+        upstream.gate.set()
+        (line,) = await task
+        self.assertTrue(all(isinstance(e.outcome, Answered) for e in line.entries))
--- /dev/null
+++ b/tests/daemon/test_ticket_replies.py
@@ -0,0 +1,36 @@
+"""Tests of how a reply to a run request is read."""
+
+import unittest
+
+from result import Err, Ok
+
+from celeryferry_core.exceptions import PeerFailure, PeerFailureKind
+from celeryferry_core.models.messages import RunReply
+from celeryferry_core.models.outcomes import (
+    NotRun,
+    NotRunReason,
+    OutcomeUnknown,
+    UnknownReason,
+)
+from celeryferry_daemon._internal.tickets.replies import read_reply
+from tests.daemon.ticket_fakes import DONE
+
+NOTHING_RAN = NotRun(NotRunReason.UNREACHABLE)
+
+
+class TestReadReply(unittest.TestCase):
+    """Guards against an answer to another ticket and against an untrue "not run"."""
+
+    def test_a_reply_to_another_ticket_is_not_taken(self):
+        self.assertEqual(
+            read_reply(Ok(RunReply("t-1", DONE)), "t-1", NOTHING_RAN), DONE
+        )
+        outcome = read_reply(Ok(RunReply("t-2", DONE)), "t-1", NOTHING_RAN)
+        self.assertEqual(outcome, OutcomeUnknown(UnknownReason.BAD_ANSWER))
+
+    def test_only_a_failure_that_ran_nothing_is_not_run(self):
+        for kind in PeerFailureKind:
+            failure = PeerFailure(kind, "host-1", "test")
+            outcome = read_reply(Err(failure), "t-1", NOTHING_RAN)
+            expected = NotRun if failure.ran_nothing else OutcomeUnknown
+            self.assertIsInstance(outcome, expected, kind)
--- /dev/null
+++ b/tests/daemon/test_truncated_answers.py
@@ -0,0 +1,92 @@
+"""Tests of the owner's checks of answers, with the checks and without them."""
+
+import unittest
+from unittest import mock
+
+import aiohttp
+import msgspec
+
+from celeryferry_core.models.outcomes import Answered, OutcomeUnknown, UnknownReason
+from celeryferry_daemon._internal.owner import client, replies
+from celeryferry_standins.upstream.behaviour import Behaviour, UpstreamSpec
+from celeryferry_standins.upstream.server import UpstreamServer
+from tests.daemon.fakes import wait_for
+from tests.daemon.owner_fakes import SNAPSHOT, OwnerRig
+
+BAD_ANSWER = OutcomeUnknown(UnknownReason.BAD_ANSWER)
+HITS = 10
+
+
+async def read_without_length_check(response):
+    """Read what came of a body, whether or not it is whole."""
+    chunks = []
+    try:
+        async for chunk in response.content.iter_any():
+            chunks.append(chunk)
+    except aiohttp.ClientPayloadError:
+        pass
+    return b"".join(chunks)
+
+
+class ClosingDecoder:
+    """Decoder of answers that ends a list of hits that was cut off."""
+
+    def decode(self, content):
+        whole_hits = content[: content.rindex(b"}") + 1]
+        return msgspec.json.decode(whole_hits + b"]}", type=replies._SearchBody)
+
+
+class AnswersTestCase(unittest.IsolatedAsyncioTestCase):
+    """Starts a stand-in upstream and an owner."""
+
+    async def asyncSetUp(self):
+        behaviour = Behaviour(index_versions=[SNAPSHOT], hits=HITS)
+        self.upstream = UpstreamServer(UpstreamSpec("one", behaviour=behaviour))
+        address = await self.upstream.open()
+        self.addAsyncCleanup(self.upstream.close)
+        self.rig = OwnerRig()
+        await self.rig.start(address)
+        self.addAsyncCleanup(self.rig.stop)
+        await wait_for(lambda: self.rig.observe().index_versions)
+
+    def without(self, target, name, replacement):
+        """Replace a check for the rest of the test."""
+        patched = mock.patch.object(target, name, replacement)
+        patched.start()
+        self.addCleanup(patched.stop)
+
+
+class TestTruncatedAnswers(AnswersTestCase):
+    """Guards against a part of the hits being delivered as the whole answer.
+
+    The length of the body and its form are checked, and either check suffices.
+    """
+
+    async def search(self):
+        self.upstream.engine.apply({"misbehaviour": "truncated"})
+        outcome = await self.rig.search_one()
+        self.assertEqual(self.upstream.engine.counters.executed, 1)
+        return outcome
+
+    async def test_refused_with_both_checks(self):
+        self.assertEqual(await self.search(), BAD_ANSWER)
+
+    async def test_refused_without_the_check_of_the_length(self):
+        self.without(client, "read_bounded", read_without_length_check)
+        self.assertEqual(await self.search(), BAD_ANSWER)
+
+    async def test_refused_without_the_check_of_the_form(self):
+        self.without(replies, "_SEARCH_DECODER", ClosingDecoder())
+        self.assertEqual(await self.search(), BAD_ANSWER)
+
+    async def test_delivered_in_part_without_both_checks(self):
+        self.without(client, "read_bounded", read_without_length_check)
+        self.without(replies, "_SEARCH_DECODER", ClosingDecoder())
+        outcome = await self.search()
+        self.assertIsInstance(outcome, Answered)
+        hits = msgspec.json.decode(outcome.hits)
+        self.assertTrue(0 < len(hits) < HITS)
+
+
+if __name__ == "__main__":
+    unittest.main()
