Count connections that are accepted but not yet established against the bound

The listener compared its bound with the connections known to the HTTP server, but the event loop accepts up to 1,024 connections in one step and reports them to the server in a later one. A burst, or a process that had stood still, exceeded the bound by up to a whole step.

Change: BoundedSite keeps the handlers whose connection is not established yet and adds them to the count. They are held weakly, since a connection may fail before that.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/peers/server.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/peers/server.py
@@ -4,6 +4,7 @@
 import hmac
 from collections.abc import Iterable
 from datetime import timedelta
+from weakref import WeakSet
 
 import msgspec
 from aiohttp import web
@@ -137,6 +138,9 @@
         self._connections = connections
         self._check_seconds = head_timeout.total_seconds() / CHECKS_PER_TIMEOUT
         self._timer: asyncio.TimerHandle | None = None
+        # The event loop accepts up to BACKLOG connections before the server knows one
+        # of them. Weak, because a connection may fail before it is established.
+        self._connecting: WeakSet[HeadTimedHandler] = WeakSet()
 
     @property
     def name(self) -> str:
@@ -161,10 +165,16 @@
 
     def _accept(self) -> asyncio.Protocol:
         server = self._runner.server
-        if server is None or len(server.connections) >= self._connections:
+        if server is None:
+            return _Refuser()
+        if len(server.connections) + len(self._connecting) >= self._connections:
             return _Refuser()
         loop = asyncio.get_running_loop()
-        return HeadTimedHandler(server, loop=loop, **HANDLER_OPTIONS)
+        handler = HeadTimedHandler(
+            server, self._connecting.discard, loop=loop, **HANDLER_OPTIONS
+        )
+        self._connecting.add(handler)
+        return handler
 
     def _check_heads(self) -> None:
         loop = asyncio.get_running_loop()
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/request_heads.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/request_heads.py
@@ -1,7 +1,9 @@
 """Bound on the time that a connection may take to deliver a request head."""
 
 import asyncio
+from collections.abc import Callable
 from datetime import timedelta
+from typing import Any
 
 from aiohttp import StreamReader, web
 
@@ -18,9 +20,22 @@
     a connection whose request waits in the socket buffer. A partial head that arrives
     in one segment with the end of the previous request is not seen; such a connection
     is closed like an idle one.
+
+    :param server: server that the connection belongs to once it is established.
+    :param on_connected: called with the connection when it is established.
+    :param options: options of aiohttp's handler.
     """
 
-    __slots__ = ("_body", "_checks", "_is_busy")
+    __slots__ = ("__weakref__", "_body", "_checks", "_is_busy", "_on_connected")
+
+    def __init__(
+        self,
+        server: web.Server,
+        on_connected: Callable[["HeadTimedHandler"], None],
+        **options: Any,
+    ) -> None:
+        super().__init__(server, **options)
+        self._on_connected = on_connected
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the first head.
@@ -31,6 +46,7 @@
         self._checks: int | None = 0
         self._is_busy = False
         super().connection_made(transport)
+        self._on_connected(self)
 
     def data_received(self, data: bytes) -> None:
         """Recognize the first bytes of a head.
--- /dev/null
+++ b/tests/daemon/test_connection_bound.py
@@ -0,0 +1,74 @@
+"""Tests of the bound on the open connections of a listener."""
+
+import asyncio
+import socket
+import unittest
+
+from aiohttp import web
+
+from celeryferry_daemon._internal.peers.server import make_peer_app, start_listener
+from tests.daemon.fleet import wait_until
+
+BOUND = 8
+EXCESS = 12
+
+
+class TestConnectionBound(unittest.IsolatedAsyncioTestCase):
+    """Guards against a burst of connections that exceeds the bound."""
+
+    async def asyncSetUp(self):
+        app = make_peer_app("secret", [web.get("/peer/v1/none", self.handle)])
+        self.runner = await start_listener(app, "127.0.0.1:0", connections=BOUND)
+        self.addAsyncCleanup(self.runner.cleanup)
+
+    async def handle(self, request):
+        return web.json_response({})
+
+    def connect(self):
+        connection = socket.create_connection(self.runner.addresses[0])
+        self.addCleanup(connection.close)
+        connection.setblocking(False)
+        return connection
+
+    async def wait_for_close(self, connection):
+        loop = asyncio.get_running_loop()
+        try:
+            self.assertEqual(await loop.sock_recv(connection, 1), b"")
+        except ConnectionError:
+            return
+
+    async def close_first(self, connections, count):
+        """Wait until the listener has closed a number of connections."""
+        tasks = {asyncio.create_task(self.wait_for_close(c)) for c in connections}
+        closed = 0
+        async with asyncio.timeout(5.0):
+            while closed < count:
+                done, tasks = await asyncio.wait(
+                    tasks, return_when=asyncio.FIRST_COMPLETED
+                )
+                closed += len(done)
+        for task in tasks:
+            task.cancel()
+        return closed
+
+    async def test_connections_accepted_at_once_are_bounded(self):
+        # The event loop does not run meanwhile, as in a process that stands still, and
+        # then accepts all of them before it knows any.
+        connections = [self.connect() for _ in range(BOUND + EXCESS)]
+        self.assertEqual(await self.close_first(connections, EXCESS), EXCESS)
+        self.assertEqual(len(self.runner.server.connections), BOUND)
+
+    async def test_closed_connections_make_room(self):
+        connections = [self.connect() for _ in range(BOUND)]
+        await wait_until(lambda: len(self.runner.server.connections) == BOUND)
+        await self.close_first([self.connect()], 1)
+        for connection in connections:
+            connection.close()
+        await wait_until(lambda: not self.runner.server.connections)
+        for _ in range(BOUND):
+            self.connect()
+        await wait_until(lambda: len(self.runner.server.connections) == BOUND)
+
+
+if __name__ == "__main__":
+    unittest.main()
