Decide the forwarding of a request to many upstreams without I/O

Cause: the users' platform speaks HTTP between callers, hosts and upstreams, and its upstreams take connections from every host, so no host needs to own an upstream there. The search session of the core sends batches to owners and can't serve that.

Ruled out: running the owner role in every process with a lease that always holds. It would keep the batches, leases and index versions that nothing of the platform needs, and requests to one upstream with any method and body would still be missing.

Change: celeryferry_core.forwarding with rules, registry of upstreams, choice of an upstream, extra budgets, cold limit, table of hosts, and ForwardingSession, a state machine on a passed-in clock.

--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/attempts.py
@@ -0,0 +1,125 @@
+"""Attempts of one request and the state of its shards."""
+
+from datetime import timedelta
+
+from celeryferry_core.forwarding.models import Upstream
+from celeryferry_core.forwarding.outcomes import AttemptOutcome, Refused, Succeeded
+
+
+class ShardState:
+    """Progress of one shard, or of the whole request if it goes to one service.
+
+    :param service: service that holds the shard.
+    :ivar tried: instance ids that were sent to.
+    :ivar open_count: attempts without an outcome.
+    :ivar run_count: attempts that may have run or may still run.
+    :ivar refusal_count: attempts that were refused.
+    :ivar hedge_at: time of the hedge, None if there is none to come.
+    :ivar retry_at: time at which to look for an upstream again, None if not waiting.
+    :ivar success: attempt that was answered with success.
+    :ivar last_outcome: latest outcome that was no success.
+    :ivar may_have_run: whether an attempt ended without proof that it did not run.
+    :ivar has_failed: whether no further attempt will be made.
+    """
+
+    __slots__ = (
+        "has_failed",
+        "hedge_at",
+        "last_outcome",
+        "may_have_run",
+        "open_count",
+        "refusal_count",
+        "retry_at",
+        "run_count",
+        "service",
+        "success",
+        "tried",
+    )
+
+    def __init__(self, service: str) -> None:
+        self.service = service
+        self.tried: set[str] = set()
+        self.open_count = 0
+        self.run_count = 0
+        self.refusal_count = 0
+        self.hedge_at: timedelta | None = None
+        self.retry_at: timedelta | None = None
+        self.success: Attempt | None = None
+        self.last_outcome: AttemptOutcome | None = None
+        self.may_have_run = False
+        self.has_failed = False
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the outcome of the shard is known."""
+        return self.success is not None or self.has_failed
+
+
+class Attempt:
+    """One request to one upstream.
+
+    :param attempt_id: number of the attempt in its session.
+    :param shard: shard that it is for.
+    :param upstream: where it goes.
+    :param reason: why the upstream was chosen.
+    :ivar sent_at: monotonic time at which it was handed to the connection.
+    :ivar ended_at: monotonic time of the outcome, None while it is open.
+    :ivar outcome: its outcome, None while it is open.
+    """
+
+    __slots__ = (
+        "attempt_id",
+        "ended_at",
+        "outcome",
+        "reason",
+        "sent_at",
+        "shard",
+        "upstream",
+    )
+
+    def __init__(
+        self, attempt_id: int, shard: ShardState, upstream: Upstream, reason: str
+    ) -> None:
+        self.attempt_id = attempt_id
+        self.shard = shard
+        self.upstream = upstream
+        self.reason = reason
+        self.sent_at = timedelta(0)
+        self.ended_at: timedelta | None = None
+        self.outcome: AttemptOutcome | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the outcome is not known yet."""
+        return self.outcome is None
+
+    def end(self, outcome: AttemptOutcome, now: timedelta) -> None:
+        """Note the outcome.
+
+        :param outcome: the outcome.
+        :param now: present monotonic time.
+        """
+        self.outcome = outcome
+        self.ended_at = now
+
+    def describe(self, now: timedelta) -> str:
+        """Return the attempt as one word of a log line.
+
+        :param now: present monotonic time.
+        :returns: service, upstream, reason, outcome and time in milliseconds.
+        """
+        ended_at = self.ended_at or now
+        elapsed_ms = round((ended_at - self.sent_at) / timedelta(milliseconds=1))
+        match self.outcome:
+            case None:
+                result = "open"
+            case Succeeded():
+                result = "ok"
+            case Refused(reason):
+                result = f"refused:{reason.value}"
+            case other if hasattr(other, "response"):
+                result = f"failed:{other.response.status}"
+            case other:
+                result = f"lost:{other.reason.value}"
+        upstream = f"{self.upstream.instance_id}@{self.upstream.address}"
+        return f"{self.shard.service}/{upstream}/{self.reason}/{result}/{elapsed_ms}ms"
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/health.py
@@ -0,0 +1,84 @@
+"""What this host learned about upstreams from its own attempts."""
+
+from datetime import timedelta
+
+SLOWNESS_WEIGHT = 0.2
+FAILURE_WEIGHT = 0.1
+# Cost of a failed attempt relative to a successful one: it is made again elsewhere.
+FAILURE_COST = 8.0
+# An upstream that failed is a last choice for this time, doubled for every further
+# failure in a row.
+FIRST_BACKOFF = timedelta(milliseconds=250)
+MAX_BACKOFF = timedelta(seconds=2)
+
+
+class UpstreamHealth:
+    """Observations of one upstream.
+
+    :ivar in_flight: attempts of this host without an outcome.
+    :ivar reported_load: running and waiting requests that it reported, without those
+        of this host.
+    :ivar suspected_until: time until which it is a last choice.
+    """
+
+    __slots__ = (
+        "_failure_ratio",
+        "_failures_in_row",
+        "_slowness",
+        "in_flight",
+        "reported_load",
+        "suspected_until",
+    )
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.reported_load = 0
+        self.suspected_until = timedelta(0)
+        self._slowness = 1.0
+        self._failure_ratio = 0.0
+        self._failures_in_row = 0
+
+    def record_success(self, relative_time: float) -> None:
+        """Take over a successful attempt.
+
+        :param relative_time: its time relative to the usual one.
+        """
+        self._failures_in_row = 0
+        self.suspected_until = timedelta(0)
+        self._failure_ratio *= 1 - FAILURE_WEIGHT
+        self._slowness += (relative_time - self._slowness) * SLOWNESS_WEIGHT
+
+    def record_slow(self, relative_time: float) -> None:
+        """Take over an attempt that has not ended after some time.
+
+        :param relative_time: the time relative to the usual one; a lower bound.
+        """
+        if relative_time > self._slowness:
+            self._slowness += (relative_time - self._slowness) * SLOWNESS_WEIGHT
+
+    def record_refusal(self) -> None:
+        """Take over a refusal because of load."""
+        self._failure_ratio += (1 - self._failure_ratio) * FAILURE_WEIGHT
+
+    def record_failure(self, now: timedelta) -> None:
+        """Take over a failed or lost attempt.
+
+        :param now: present monotonic time.
+        """
+        self.record_refusal()
+        backoff = min(MAX_BACKOFF, FIRST_BACKOFF * 2 ** min(self._failures_in_row, 8))
+        self._failures_in_row += 1
+        self.suspected_until = now + backoff
+
+    def expect_cost(self, slots: int) -> float:
+        """Estimate the time of one more attempt relative to the usual one.
+
+        :param slots: requests that the upstream works on at once.
+        """
+        load = self.in_flight + self.reported_load
+        waiting = 1 + max(0, load + 1 - slots) / max(1, slots)
+        # Below its slots a loaded upstream is only slightly slower.
+        share = 1 + 0.25 * min(load, slots) / max(1, slots)
+        return (
+            self._slowness * waiting * share * (1 + FAILURE_COST * self._failure_ratio)
+        )
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/rules.py
@@ -0,0 +1,55 @@
+"""Lookup of the rule of a request, and of the services it goes to."""
+
+from collections.abc import Iterable
+
+from celeryferry_core.forwarding.models import ForwardingRule, Sharded, Weighted
+from celeryferry_core.ports import RandomSource
+
+
+class RuleTable:
+    """Rules by host name, longest path prefix first.
+
+    :param rules: rules of one configuration version.
+    """
+
+    __slots__ = ("_by_host",)
+
+    def __init__(self, rules: Iterable[ForwardingRule]) -> None:
+        self._by_host: dict[str, list[ForwardingRule]] = {}
+        for rule in rules:
+            self._by_host.setdefault(rule.host_name.lower(), []).append(rule)
+        for listed in self._by_host.values():
+            listed.sort(key=lambda rule: len(rule.path_prefix), reverse=True)
+
+    def find(self, host_name: str, target: str) -> ForwardingRule | None:
+        """Find the rule of a request.
+
+        :param host_name: ``Host`` header, with or without a port.
+        :param target: path with its query as the caller sent it.
+        :returns: the rule with the longest matching prefix, or None.
+        """
+        name = host_name.partition(":")[0].lower()
+        path = target.partition("?")[0]
+        for rule in self._by_host.get(name, ()):
+            if path.startswith(rule.path_prefix):
+                return rule
+        return None
+
+
+def pick_services(rule: ForwardingRule, random: RandomSource) -> tuple[str, ...]:
+    """Choose the services that one request goes to.
+
+    :param rule: rule of the request.
+    :param random: source of random numbers.
+    :returns: all shards of a sharded target, or one service drawn by weight.
+    """
+    match rule.target:
+        case Sharded(services=services):
+            return services
+        case Weighted(parts=parts):
+            left = random.random() * sum(part.weight for part in parts)
+            for part in parts:
+                left -= part.weight
+                if left < 0:
+                    return (part.service,)
+            return (parts[-1].service,)
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/selection.py
@@ -0,0 +1,177 @@
+"""Choice of the upstream for one attempt."""
+
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+
+from celeryferry_core.forwarding.health import UpstreamHealth
+from celeryferry_core.forwarding.models import ServiceBounds, Upstream
+from celeryferry_core.forwarding.registry import UpstreamRegistry
+from celeryferry_core.forwarding.warmup import WarmupLimits
+from celeryferry_core.ports import RandomSource
+
+# Another failure domain must promise less than this part of the local time: bytes
+# between failure domains are dear and the way is longer.
+REMOTE_GAIN = 2.0
+# Part of an upstream's connections that the fleet uses; the rest is for health checks
+# and for connections that are being closed.
+CONNECTION_PART = 0.8
+UNKNOWN_BOUNDS = ServiceBounds(max_connections=16, cold_requests_per_s=0.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Selection:
+    """A chosen upstream.
+
+    :param upstream: the upstream.
+    :param reason: why it was chosen, for the log.
+    """
+
+    upstream: Upstream
+    reason: str
+
+
+class UpstreamSelector:
+    """Chooses upstreams from what this host knows.
+
+    :param own_domain: failure domain of this host.
+    :param registry: listed upstreams.
+    :param warmup: limits on cold upstreams.
+    :param random: source of random numbers.
+    :ivar services: bounds by service, replaced with the configuration.
+    :ivar host_count: hosts that share the connections of an upstream.
+    """
+
+    __slots__ = (
+        "_health",
+        "_own_domain",
+        "_random",
+        "_registry",
+        "_warmup",
+        "host_count",
+        "services",
+    )
+
+    def __init__(
+        self,
+        own_domain: str,
+        registry: UpstreamRegistry,
+        warmup: WarmupLimits,
+        random: RandomSource,
+    ) -> None:
+        self._own_domain = own_domain
+        self._registry = registry
+        self._warmup = warmup
+        self._random = random
+        self._health: dict[str, UpstreamHealth] = {}
+        self.services: Mapping[str, ServiceBounds] = {}
+        self.host_count = 1
+
+    def health_of(self, instance_id: str) -> UpstreamHealth:
+        """Return the observations of an upstream.
+
+        :param instance_id: id of its incarnation.
+        """
+        health = self._health.get(instance_id)
+        if health is None:
+            health = self._health[instance_id] = UpstreamHealth()
+        return health
+
+    def forget(self, instance_id: str) -> None:
+        """Drop what is known of an upstream that is gone.
+
+        :param instance_id: id of its incarnation.
+        """
+        self._health.pop(instance_id, None)
+        self._warmup.forget(instance_id)
+
+    def choose(
+        self, service: str, now: timedelta, tried: Collection[str] = ()
+    ) -> Selection | None:
+        """Choose an upstream of a service.
+
+        :param service: name of the service.
+        :param now: present monotonic time.
+        :param tried: instance ids that are left out.
+        :returns: the choice, or None if none may be sent to now.
+        """
+        usable = [
+            upstream
+            for upstream in self._registry.list_service(service).values()
+            if not upstream.is_draining
+            and upstream.failure_domain not in self._registry.domains_out
+            and upstream.instance_id not in tried
+            and self._has_room(upstream)
+        ]
+        warm = [u for u in usable if not self._registry.is_cold(u.instance_id, now)]
+        sound = [
+            u for u in warm if self.health_of(u.instance_id).suspected_until <= now
+        ]
+        if sound:
+            return self._choose_sound(sound)
+        return self._choose_cold(usable, now) or self._choose_suspected(warm)
+
+    def count_sent(self, upstream: Upstream, now: timedelta) -> None:
+        """Count an attempt that is being sent.
+
+        :param upstream: where it goes.
+        :param now: present monotonic time.
+        """
+        self.health_of(upstream.instance_id).in_flight += 1
+        if self._registry.is_cold(upstream.instance_id, now):
+            self._warmup.count_sent(upstream.instance_id, now)
+
+    def bound_connections(self, service: str) -> int:
+        """Return how many connections this host may have to one upstream.
+
+        :param service: service of the upstream.
+        """
+        bounds = self.services.get(service, UNKNOWN_BOUNDS)
+        share = bounds.max_connections * CONNECTION_PART / max(1, self.host_count)
+        return max(1, int(share))
+
+    def _has_room(self, upstream: Upstream) -> bool:
+        in_flight = self.health_of(upstream.instance_id).in_flight
+        return in_flight < self.bound_connections(upstream.service)
+
+    def _choose_sound(self, sound: list[Upstream]) -> Selection:
+        local = [u for u in sound if u.failure_domain == self._own_domain]
+        remote = [u for u in sound if u.failure_domain != self._own_domain]
+        if not local:
+            return Selection(self._pick_of_two(remote), "remote")
+        first = self._pick_of_two(local)
+        if not remote:
+            return Selection(first, "own_domain")
+        second = self._pick_of_two(remote)
+        if self._expect(first) <= REMOTE_GAIN * self._expect(second):
+            return Selection(first, "own_domain")
+        return Selection(second, "own_domain_slow")
+
+    def _choose_cold(self, usable: list[Upstream], now: timedelta) -> Selection | None:
+        for upstream in usable:
+            if not self._registry.is_cold(upstream.instance_id, now):
+                continue
+            bounds = self.services.get(upstream.service, UNKNOWN_BOUNDS)
+            rate = bounds.cold_requests_per_s
+            if self._warmup.may_send(upstream.instance_id, rate, now):
+                return Selection(upstream, "cold")
+        return None
+
+    def _choose_suspected(self, warm: list[Upstream]) -> Selection | None:
+        if not warm:
+            return None
+        best = min(warm, key=lambda u: self.health_of(u.instance_id).suspected_until)
+        return Selection(best, "suspected")
+
+    def _pick_of_two(self, upstreams: list[Upstream]) -> Upstream:
+        if len(upstreams) == 1:
+            return upstreams[0]
+        first = self._random.randrange(len(upstreams))
+        second = self._random.randrange(len(upstreams) - 1)
+        second += second >= first
+        if self._expect(upstreams[second]) < self._expect(upstreams[first]):
+            return upstreams[second]
+        return upstreams[first]
+
+    def _expect(self, upstream: Upstream) -> float:
+        return self.health_of(upstream.instance_id).expect_cost(upstream.slots)
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/session.py
@@ -0,0 +1,339 @@
+"""One forwarded request from start to result, a state machine that does no I/O."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from celeryferry_core.forwarding.attempts import Attempt, ShardState
+from celeryferry_core.forwarding.budgets import ExtraBudgets
+from celeryferry_core.forwarding.events import (
+    Action,
+    AttemptEnded,
+    CallerGone,
+    CancelAttempt,
+    Event,
+    Finish,
+    SendAttempt,
+    SetTimer,
+    TimerFired,
+)
+from celeryferry_core.forwarding.models import ForwardingRule
+from celeryferry_core.forwarding.outcomes import (
+    Failed,
+    LossReason,
+    Lost,
+    NotRunResult,
+    RefusalReason,
+    Refused,
+    RequestResult,
+    Succeeded,
+)
+from celeryferry_core.forwarding.results import (
+    conclude_shards,
+    conclude_single,
+    count_required,
+    is_final_failure,
+)
+from celeryferry_core.forwarding.selection import UpstreamSelector
+from celeryferry_core.forwarding.timing import TimesByRule
+from celeryferry_core.mechanisms import Mechanisms
+from celeryferry_core.ports import RandomSource
+
+# The result is on its way to the caller before the time is up.
+FINISH_MARGIN = timedelta(milliseconds=10)
+# Part of the target after which an answer with enough shards is not held back for the
+# rest; what is left covers the way to the caller.
+ENOUGH_AFTER_PART = 0.85
+# A shard without an upstream to send to is looked at again at this interval, for this
+# part of the target.
+WAIT_INTERVAL = timedelta(milliseconds=20)
+MAX_WAIT_PART = 0.25
+# Refused attempts cost an upstream little, but each takes time.
+MAX_REFUSALS = 3
+# Callers wait for at most a third of the time they have left. The random part keeps
+# those that were refused together from returning together.
+RETRY_AFTER_PART = 0.15
+RETRY_AFTER_SPREAD = 0.15
+
+
+@dataclass(frozen=True, slots=True)
+class Knowledge:
+    """What all sessions of one host share.
+
+    :param selector: chooses upstreams.
+    :param budgets: extra attempts by service.
+    :param times: attempt times by rule.
+    :param random: source of random numbers.
+    :param mechanisms: switches for tests.
+    """
+
+    selector: UpstreamSelector
+    budgets: ExtraBudgets
+    times: TimesByRule
+    random: RandomSource
+    mechanisms: Mechanisms = field(default_factory=Mechanisms)
+
+
+class ForwardingSession:
+    """A request that takes events and the present time and returns actions.
+
+    The rule and the services are those of one configuration version for the whole
+    request, so its parts belong to one version.
+
+    :param rule: rule of the request.
+    :param services: services it goes to, one a shard.
+    :param started: monotonic time at which the request was read.
+    :param time_left: time that the caller will wait, from ``started``.
+    :param knowledge: what all sessions share.
+    :ivar attempts: all attempts in order, for the log.
+    :ivar result: result of the request, None until it is known.
+    """
+
+    __slots__ = (
+        "_actions",
+        "_enough_at",
+        "_finish_at",
+        "_knowledge",
+        "_required",
+        "_shards",
+        "_started",
+        "_timer_at",
+        "_times",
+        "attempts",
+        "result",
+        "rule",
+    )
+
+    def __init__(
+        self,
+        rule: ForwardingRule,
+        services: tuple[str, ...],
+        started: timedelta,
+        time_left: timedelta,
+        knowledge: Knowledge,
+    ) -> None:
+        self.rule = rule
+        self.attempts: list[Attempt] = []
+        self.result: RequestResult | None = None
+        self._knowledge = knowledge
+        self._times = knowledge.times.of(rule)
+        self._started = started
+        self._finish_at = started + min(rule.timeout, time_left) - FINISH_MARGIN
+        self._enough_at = started + rule.target_latency * ENOUGH_AFTER_PART
+        self._required = count_required(rule.target, len(services))
+        self._shards = [ShardState(service) for service in services]
+        self._timer_at: timedelta | None = None
+        self._actions: list[Action] = []
+
+    def start(self, now: timedelta) -> list[Action]:
+        """Send the first attempts.
+
+        :param now: present monotonic time.
+        :returns: actions in order.
+        """
+        if now >= self._finish_at:
+            self._finish(self._refuse(RefusalReason.DEADLINE, now))
+            return self._take_actions()
+        for shard in self._shards:
+            self._knowledge.budgets.count_request(shard.service)
+        if self._count_reachable(now) < self._required:
+            self._finish(self._refuse(RefusalReason.NO_UPSTREAM, now))
+            return self._take_actions()
+        for shard in self._shards:
+            self._send(shard, now)
+        return self._conclude(now)
+
+    def handle(self, event: Event, now: timedelta) -> list[Action]:
+        """Take an event.
+
+        :param event: the event.
+        :param now: present monotonic time.
+        :returns: actions in order; none once the result is known.
+        """
+        match event:
+            case AttemptEnded():
+                self._take_outcome(event, now)
+            case TimerFired():
+                self._timer_at = None
+                self._wake(now)
+            case CallerGone():
+                return self._abandon()
+        return self._conclude(now)
+
+    def _abandon(self) -> list[Action]:
+        if self.result is None:
+            self.result = NotRunResult(RefusalReason.CALLER_GONE, timedelta(0))
+        for attempt in self.attempts:
+            if attempt.is_open:
+                self._actions.append(CancelAttempt(attempt.attempt_id))
+        return self._take_actions()
+
+    def _take_outcome(self, event: AttemptEnded, now: timedelta) -> None:
+        attempt = self.attempts[event.attempt_id]
+        if not attempt.is_open:
+            return
+        attempt.end(event.outcome, now)
+        self._learn(attempt, event, now)
+        shard = attempt.shard
+        shard.open_count -= 1
+        if self.result is not None or shard.is_closed:
+            return
+        match event.outcome:
+            case Succeeded():
+                shard.success = attempt
+            case Refused(reason):
+                shard.last_outcome = event.outcome
+                shard.run_count -= 1
+                shard.refusal_count += 1
+                arrived = reason is not RefusalReason.CONNECT_FAILED
+                self._retry(shard, now, arrived)
+            case Failed() | Lost():
+                shard.last_outcome = event.outcome
+                shard.may_have_run = True
+                if self.rule.is_repeatable and not is_final_failure(event.outcome):
+                    self._retry(shard, now, True)
+                else:
+                    shard.has_failed = True
+
+    def _learn(self, attempt: Attempt, event: AttemptEnded, now: timedelta) -> None:
+        instance_id = attempt.upstream.instance_id
+        health = self._knowledge.selector.health_of(instance_id)
+        health.in_flight -= 1
+        if event.reported_load is not None:
+            health.reported_load = max(0, event.reported_load - 1 - health.in_flight)
+        elapsed = now - attempt.sent_at
+        match event.outcome:
+            case Succeeded():
+                health.record_success(self._times.relate(elapsed))
+                self._times.record(elapsed)
+            case Refused(RefusalReason.UPSTREAM_REFUSED):
+                health.record_refusal()
+            case Lost(LossReason.CANCELLED):
+                health.record_slow(self._times.relate(elapsed))
+            case _:
+                health.record_failure(now)
+
+    def _retry(self, shard: ShardState, now: timedelta, needs_budget: bool) -> None:
+        if shard.open_count:
+            return
+        is_spent = shard.run_count >= self.rule.max_attempts
+        is_spent |= shard.refusal_count > MAX_REFUSALS
+        is_spent |= now >= self._finish_at
+        if is_spent or (needs_budget and not self._take_budget(shard)):
+            shard.has_failed = True
+        else:
+            self._send(shard, now)
+
+    def _take_budget(self, shard: ShardState) -> bool:
+        return self._knowledge.budgets.take(shard.service)
+
+    def _wake(self, now: timedelta) -> None:
+        if self.result is not None or now >= self._finish_at:
+            return
+        for shard in self._shards:
+            if shard.is_closed:
+                continue
+            if shard.retry_at is not None and now >= shard.retry_at:
+                shard.retry_at = None
+                self._send(shard, now)
+            elif shard.hedge_at is not None and now >= shard.hedge_at:
+                shard.hedge_at = None
+                self._hedge(shard, now)
+
+    def _hedge(self, shard: ShardState, now: timedelta) -> None:
+        if shard.open_count != 1 or shard.run_count >= self.rule.max_attempts:
+            return
+        selection = self._knowledge.selector.choose(shard.service, now, shard.tried)
+        if selection is None or selection.reason in ("cold", "suspected"):
+            return
+        if self._take_budget(shard):
+            self._add_attempt(shard, selection.upstream, f"hedge_{selection.reason}")
+
+    def _send(self, shard: ShardState, now: timedelta) -> None:
+        selector = self._knowledge.selector
+        selection = selector.choose(shard.service, now, shard.tried)
+        if selection is None:
+            self._wait(shard, now)
+            return
+        self._add_attempt(shard, selection.upstream, selection.reason)
+        if self.rule.is_repeatable and self._knowledge.mechanisms.hedging:
+            shard.hedge_at = now + self._times.hedge_delay
+
+    def _wait(self, shard: ShardState, now: timedelta) -> None:
+        wait_until = self._started + self.rule.target_latency * MAX_WAIT_PART
+        if now + WAIT_INTERVAL <= wait_until and not shard.tried:
+            shard.retry_at = now + WAIT_INTERVAL
+            return
+        shard.has_failed = True
+        if shard.last_outcome is None:
+            shard.last_outcome = Refused(RefusalReason.NO_UPSTREAM)
+
+    def _add_attempt(self, shard: ShardState, upstream: object, reason: str) -> None:
+        attempt_id = len(self.attempts)
+        attempt = Attempt(attempt_id, shard, upstream, reason)
+        self.attempts.append(attempt)
+        shard.tried.add(upstream.instance_id)
+        shard.open_count += 1
+        shard.run_count += 1
+        self._actions.append(SendAttempt(attempt_id, upstream, self._finish_at))
+
+    def _count_reachable(self, now: timedelta) -> int:
+        choose = self._knowledge.selector.choose
+        return sum(choose(shard.service, now) is not None for shard in self._shards)
+
+    def _conclude(self, now: timedelta) -> list[Action]:
+        for action in self._actions:
+            if isinstance(action, SendAttempt):
+                attempt = self.attempts[action.attempt_id]
+                attempt.sent_at = now
+                self._knowledge.selector.count_sent(attempt.upstream, now)
+        if self.result is None:
+            result = self._find_result(now)
+            if result is not None:
+                self._finish(result)
+            else:
+                self._arm_timer(now)
+        return self._take_actions()
+
+    def _find_result(self, now: timedelta) -> RequestResult | None:
+        is_over = now >= self._finish_at
+        shards = self._shards
+        covered = sum(shard.success is not None for shard in shards)
+        pending = sum(not shard.is_closed for shard in shards)
+        is_possible = covered + pending >= self._required
+        is_early = covered < self._required or now < self._enough_at
+        if pending and not is_over and is_possible and is_early:
+            return None
+        if covered >= self._required:
+            return conclude_shards(self.rule.target, shards)
+        return conclude_single(shards, is_over) or self._refuse_shards(now)
+
+    def _refuse_shards(self, now: timedelta) -> NotRunResult:
+        for shard in self._shards:
+            if isinstance(shard.last_outcome, Refused):
+                return self._refuse(shard.last_outcome.reason, now)
+        return self._refuse(RefusalReason.NO_UPSTREAM, now)
+
+    def _refuse(self, reason: RefusalReason, now: timedelta) -> NotRunResult:
+        left = max(timedelta(0), self._finish_at - now)
+        part = RETRY_AFTER_PART + RETRY_AFTER_SPREAD * self._knowledge.random.random()
+        return NotRunResult(reason, left * part)
+
+    def _arm_timer(self, now: timedelta) -> None:
+        times = [self._finish_at]
+        if now < self._enough_at:
+            times.append(self._enough_at)
+        for shard in self._shards:
+            if not shard.is_closed:
+                times += [t for t in (shard.hedge_at, shard.retry_at) if t is not None]
+        at = min(times)
+        if at != self._timer_at:
+            self._timer_at = at
+            self._actions.append(SetTimer(at))
+
+    def _finish(self, result: RequestResult) -> None:
+        self.result = result
+        self._actions.append(Finish(result))
+
+    def _take_actions(self) -> list[Action]:
+        actions, self._actions = self._actions, []
+        return actions
--- /dev/null
+++ b/tests/core/forwarding_rig.py
@@ -0,0 +1,207 @@
+"""Forwarding sessions on a passed-in clock with scripted upstreams."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from datetime import timedelta
+
+from celeryferry_core.forwarding.budgets import ExtraBudgets
+from celeryferry_core.forwarding.events import (
+    AttemptEnded,
+    CallerGone,
+    CancelAttempt,
+    Finish,
+    SendAttempt,
+    SetTimer,
+    TimerFired,
+)
+from celeryferry_core.forwarding.models import (
+    ForwardingRule,
+    ServiceBounds,
+    Sharded,
+    Upstream,
+    Weighted,
+    WeightedService,
+)
+from celeryferry_core.forwarding.outcomes import (
+    Failed,
+    LossReason,
+    Lost,
+    RefusalReason,
+    Refused,
+    Succeeded,
+    UpstreamResponse,
+)
+from celeryferry_core.forwarding.registry import UpstreamRegistry
+from celeryferry_core.forwarding.selection import UpstreamSelector
+from celeryferry_core.forwarding.session import ForwardingSession, Knowledge
+from celeryferry_core.forwarding.timing import TimesByRule
+from celeryferry_core.forwarding.warmup import WarmupLimits
+
+Script = Callable[[SendAttempt, int], tuple[float, AttemptEnded] | None]
+
+
+def ms(value: float) -> timedelta:
+    """Return milliseconds as a duration."""
+    return timedelta(milliseconds=value)
+
+
+def make_upstream(service: str, domain: str, **changes) -> Upstream:
+    """Return the upstream of a service in a failure domain."""
+    fields = {
+        "instance_id": f"{service}-{domain}",
+        "service": service,
+        "address": "127.0.0.1:9000",
+        "failure_domain": domain,
+        "slots": 4,
+    }
+    return Upstream(**(fields | changes))
+
+
+def make_sharded_rule(shards: int = 4, **changes) -> ForwardingRule:
+    """Return a rule whose requests go to every shard."""
+    services = tuple(f"s{number}" for number in range(shards))
+    fields = {
+        "name": "lookup",
+        "host_name": "a.example",
+        "path_prefix": "/lookup/",
+        "target": Sharded(services, top_count=3, min_covered_ratio=0.75),
+        "is_repeatable": True,
+        "max_attempts": 2,
+        "timeout": ms(800),
+        "target_latency": ms(200),
+    }
+    return ForwardingRule(**(fields | changes))
+
+
+def make_single_rule(**changes) -> ForwardingRule:
+    """Return a rule whose requests go to one upstream."""
+    target = Weighted((WeightedService("orders", 1.0),))
+    return make_sharded_rule(
+        **({"name": "order", "path_prefix": "/order/", "target": target} | changes)
+    )
+
+
+def succeed(action: SendAttempt, body: bytes = b"", stamp: str = "") -> AttemptEnded:
+    """Return the success of an attempt."""
+    stamp = stamp or f"stamp-{action.upstream.instance_id}"
+    response = UpstreamResponse(200, (), body, stamp)
+    return AttemptEnded(action.attempt_id, Succeeded(response))
+
+
+def fail(action: SendAttempt, status: int = 500) -> AttemptEnded:
+    """Return a failure that ran."""
+    response = UpstreamResponse(status, (), b"", "stamp")
+    return AttemptEnded(action.attempt_id, Failed(response))
+
+
+def refuse(action: SendAttempt) -> AttemptEnded:
+    """Return a refusal because of load."""
+    refused = Refused(RefusalReason.UPSTREAM_REFUSED)
+    return AttemptEnded(action.attempt_id, refused)
+
+
+def lose(action: SendAttempt) -> AttemptEnded:
+    """Return the loss of a connection after the request was sent."""
+    return AttemptEnded(action.attempt_id, Lost(LossReason.CONNECTION_LOST))
+
+
+def answer_all(action: SendAttempt, _count: int) -> tuple[float, AttemptEnded]:
+    """Answer every attempt after 5 ms."""
+    return 5.0, succeed(action)
+
+
+class ForwardingRig:
+    """Plays sessions against scripted upstreams.
+
+    :param script: gives the delay in milliseconds and the end of an attempt, or None
+        if it never ends; takes the action and the attempts of its shard so far.
+    :param domains: failure domains with one upstream of each service.
+    :param services: services that have upstreams.
+    :param ratio: extra attempts for each request.
+    :param burst: extra attempts beyond that.
+    """
+
+    def __init__(
+        self,
+        script: Script = answer_all,
+        domains: str = "abc",
+        services: tuple[str, ...] = ("s0", "s1", "s2", "s3", "orders"),
+        ratio: float = 0.2,
+        burst: float = 200.0,
+    ) -> None:
+        self.script = script
+        self.now = timedelta(seconds=100)
+        self.registry = UpstreamRegistry()
+        self.warmup = WarmupLimits("host-1", 1.5, 5.0)
+        source = random.Random(7)
+        selector = UpstreamSelector("a", self.registry, self.warmup, source)
+        selector.services = {
+            service: ServiceBounds(80, cold_requests_per_s=0.0) for service in services
+        }
+        self.knowledge = Knowledge(
+            selector, ExtraBudgets(ratio, burst), TimesByRule(), source
+        )
+        for service, domain in itertools.product(services, domains):
+            self.registry.put(make_upstream(service, domain), self.now)
+        self.sent: list[SendAttempt] = []
+        self.cancelled: list[int] = []
+        self.elapsed = timedelta(0)
+        self._events: list = []
+        self._order = itertools.count()
+        self._timer: int | None = None
+
+    def run(self, rule: ForwardingRule, time_left_ms: float = 1_000, gone_ms=None):
+        """Play one request and return its result."""
+        match rule.target:
+            case Sharded(services=services):
+                pass
+            case Weighted(parts=parts):
+                services = (parts[0].service,)
+        self.session = ForwardingSession(
+            rule, services, self.now, ms(time_left_ms), self.knowledge
+        )
+        self.sent, self.cancelled, self._events = [], [], []
+        self._timer = None
+        started = self.now
+        result = self._take(self.session.start(self.now))
+        if gone_ms is not None:
+            self._push(self.now + ms(gone_ms), CallerGone())
+        while self._events:
+            at, _, timer, event = heapq.heappop(self._events)
+            if timer is not None and timer != self._timer:
+                continue
+            self.now = max(self.now, at)
+            found = self._take(self.session.handle(event, self.now))
+            if found is not None:
+                assert result is None, "a session has one result"
+                result = found
+                self.elapsed = self.now - started
+        return result
+
+    def _take(self, actions):
+        result = None
+        for action in actions:
+            match action:
+                case SendAttempt():
+                    self._send(action)
+                case CancelAttempt(attempt_id):
+                    self.cancelled.append(attempt_id)
+                case SetTimer(at):
+                    self._timer = next(self._order)
+                    self._push(at, TimerFired(), self._timer)
+                case Finish(found):
+                    result = found
+        return result
+
+    def _send(self, action: SendAttempt) -> None:
+        self.sent.append(action)
+        service = action.upstream.service
+        count = sum(sent.upstream.service == service for sent in self.sent)
+        played = self.script(action, count)
+        if played is not None:
+            self._push(self.now + ms(played[0]), played[1])
+
+    def _push(self, at: timedelta, event, timer: int | None = None) -> None:
+        heapq.heappush(self._events, (at, next(self._order), timer, event))
