--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
@@ -0,0 +1,237 @@
+"""Assembly of the forwarding daemon."""
+
+import asyncio
+import os
+import random as random_module
+import signal
+import time
+from collections.abc import Callable
+from datetime import timedelta
+
+import aioprometheus
+from aiohttp import web
+from multidict import CIMultiDict
+from result import Err, Ok, Result
+
+from celeryferry_core.forwarding.hosts import HostBeat, HostTable, choose_entry_hosts
+from celeryferry_daemon._internal.clock import SystemClock
+from celeryferry_daemon._internal.forwarding.callers import CallersHandler
+from celeryferry_daemon._internal.forwarding.follower import SourceFollower
+from celeryferry_daemon._internal.forwarding.log_lines import LogLines
+from celeryferry_daemon._internal.forwarding.messages import CallerResponse
+from celeryferry_daemon._internal.forwarding.metrics import RequestMetrics
+from celeryferry_daemon._internal.forwarding.peers import PeerExchange
+from celeryferry_daemon._internal.forwarding.pool import UpstreamPool
+from celeryferry_daemon._internal.forwarding.ports import Source, Wire
+from celeryferry_daemon._internal.forwarding.settings import (
+    ForwardingSettings,
+    UnreadableSettingsError,
+)
+from celeryferry_daemon._internal.forwarding.state import HostState
+from celeryferry_daemon._internal.tasks import TaskSet
+
+# Callers keep the answer for this long; a host that is gone is named a little longer.
+ENTRY_HOSTS_VALIDITY = timedelta(seconds=2)
+# Part of the stop time in which new requests are still taken, for callers that keep an
+# answer longer than they should; the rest is for requests that are running.
+ACCEPT_PART = 0.6
+FINISH_PART = 0.9
+POLL_INTERVAL = timedelta(milliseconds=50)
+HOUSEKEEPING_INTERVAL = timedelta(milliseconds=250)
+RELOAD_INTERVAL = timedelta(seconds=2)
+# An idle connection must outlive the time for which callers may use it again.
+CALLERS_KEEP_ALIVE = timedelta(seconds=75)
+LISTEN_BACKLOG = 512
+# The largest request head and body that any configuration may allow.
+MAX_BODY_BYTES = 1_048_576
+MAX_HEADER_BYTES = 65_536
+
+LoadSettings = Callable[[], Result[ForwardingSettings, UnreadableSettingsError]]
+
+
+class ForwardingDaemon:
+    """One daemon with all its tasks.
+
+    :param settings: checked settings.
+    :param sources: upstreams and what operators publish.
+    :param wire: messages of callers and upstreams.
+    :param load_settings: reads the settings again.
+    """
+
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        sources: list[Source],
+        wire: Wire,
+        load_settings: LoadSettings,
+    ) -> None:
+        self.settings = settings
+        self.registry = aioprometheus.Registry()
+        self._wire = wire
+        self._load_settings = load_settings
+        self._clock = SystemClock()
+        self._random = random_module.Random(os.urandom(16))
+        self._log = LogLines(self._clock)
+        self._pool = UpstreamPool(self._clock)
+        self._state = HostState(settings, self._random, self._pool, self._log)
+        self._followers = {
+            source.name: SourceFollower(
+                source, self._state, self._clock, self._random, self._log
+            )
+            for source in sources
+        }
+        own = HostBeat(
+            host_id=settings.host_id,
+            failure_domain=settings.failure_domain,
+            callers_address=settings.callers_address,
+            peers_address=settings.peers_address,
+            started_ms=int(time.time() * 1000),
+            beat=0,
+        )
+        self._peers = PeerExchange(
+            HostTable(own, self._random),
+            settings.seed_addresses,
+            self._followers,
+            self._state,
+            self._clock,
+            self._log,
+        )
+        self._callers = CallersHandler(
+            self._state,
+            self._pool,
+            wire,
+            self._clock,
+            self._random,
+            self._log,
+            RequestMetrics(self.registry),
+        )
+        self._tasks = TaskSet()
+        self._servers: list[asyncio.Server] = []
+        self._runners: list[web.AppRunner | web.ServerRunner] = []
+        self._stop_asked = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then stop without cutting a request."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop_asked.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload, "signal")
+        self._log.open()
+        await self._listen()
+        self._log.write("started", settings=self.settings, process_id=os.getpid())
+        for follower in self._followers.values():
+            self._tasks.spawn_lasting(follower.run, follower.source.name)
+        self._tasks.spawn_lasting(self._peers.run, "peers")
+        self._tasks.spawn_lasting(self._keep_house, "housekeeping")
+        self._tasks.spawn_lasting(self._watch_settings, "settings")
+        await self._stop_asked.wait()
+        await self._drain()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should use this host."""
+        has_state = self._state.configuration is not None
+        has_state &= all(follower.is_known for follower in self._followers.values())
+        return has_state and not self._stop_asked.is_set()
+
+    async def _listen(self) -> None:
+        settings = self.settings
+        readiness = web.Application()
+        readiness.add_routes([web.get(self._wire.READINESS_PATH, self._answer_ready)])
+        entry_hosts = web.Application()
+        entry_hosts.add_routes(
+            [web.get(self._wire.ENTRY_HOSTS_PATH, self._answer_entry_hosts)]
+        )
+        peers = web.Application(client_max_size=MAX_BODY_BYTES * 4)
+        peers.add_routes(self._peers.routes())
+        peers.add_routes([web.get("/metrics", self._answer_metrics)])
+        callers = web.Server(
+            self._callers.handle,
+            handler_cancellation=True,
+            max_field_size=MAX_HEADER_BYTES,
+            max_line_size=MAX_HEADER_BYTES,
+            keepalive_timeout=CALLERS_KEEP_ALIVE.total_seconds(),
+        )
+        await self._start(web.AppRunner(peers, access_log=None), settings.peers_address)
+        await self._start(web.ServerRunner(callers), settings.callers_address)
+        await self._start(
+            web.AppRunner(entry_hosts, access_log=None), settings.entry_hosts_address
+        )
+        await self._start(
+            web.AppRunner(readiness, access_log=None), settings.readiness_address
+        )
+
+    async def _start(
+        self, runner: web.AppRunner | web.ServerRunner, address: str
+    ) -> None:
+        await runner.setup()
+        ip, _, port = address.rpartition(":")
+        site = web.TCPSite(runner, ip, int(port), backlog=LISTEN_BACKLOG)
+        await site.start()
+        self._runners.append(runner)
+
+    async def _answer_ready(self, _request: web.Request) -> web.Response:
+        status = web.HTTPOk if self.is_ready else web.HTTPServiceUnavailable
+        return web.Response(status=status.status_code)
+
+    async def _answer_entry_hosts(self, request: web.Request) -> web.Response:
+        now = self._clock.monotonic()
+        serving = self._peers.table.list_serving(now)
+        domain = self._wire.read_caller_domain(request.query)
+        addresses = choose_entry_hosts(serving, domain, self._random)
+        if not addresses:
+            return web.Response(status=web.HTTPServiceUnavailable.status_code)
+        validity = min(ENTRY_HOSTS_VALIDITY, self.settings.max_entry_hosts_validity)
+        return _make_response(self._wire.make_entry_hosts(addresses, validity))
+
+    async def _answer_metrics(self, request: web.Request) -> web.Response:
+        accepts = request.headers.getall("Accept", [])
+        content, headers = aioprometheus.render(self.registry, accepts)
+        return web.Response(body=content, headers=headers)
+
+    async def _keep_house(self) -> None:
+        while True:
+            self._peers.is_ready = self.is_ready
+            self._state.drop_missing(self._clock.monotonic())
+            self._pool.close_expired()
+            await asyncio.sleep(HOUSEKEEPING_INTERVAL.total_seconds())
+
+    async def _watch_settings(self) -> None:
+        while True:
+            await asyncio.sleep(RELOAD_INTERVAL.total_seconds())
+            self._reload("poll")
+
+    def _reload(self, cause: str) -> None:
+        match self._load_settings():
+            case Ok(settings) if settings != self.settings:
+                self.settings = settings
+                self._peers.seeds = settings.seed_addresses
+                self._state.replace_settings(settings)
+                self._log.write("settings_reloaded", cause=cause, settings=settings)
+            case Err(error):
+                self._log.write("settings_rejected", cause=cause, reason=str(error))
+
+    async def _drain(self) -> None:
+        stop_time = self.settings.stop_time
+        begun = self._clock.monotonic()
+        self._log.write("stopping", running_count=self._callers.running_count)
+        self._callers.is_leaving = True
+        self._peers.announce_leaving()
+        await asyncio.sleep((stop_time * ACCEPT_PART).total_seconds())
+        for runner in self._runners:
+            for site in list(runner.sites):
+                await site.stop()
+        while self._clock.monotonic() - begun < stop_time * FINISH_PART:
+            if not self._callers.running_count:
+                break
+            await asyncio.sleep(POLL_INTERVAL.total_seconds())
+        self._log.write("stopped", running_count=self._callers.running_count)
+        self._log.flush()
+        await self._tasks.stop()
+        self._pool.close()
+
+
+def _make_response(answer: CallerResponse) -> web.Response:
+    return web.Response(
+        status=answer.status, headers=CIMultiDict(answer.headers), body=answer.body
+    )
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/callers.py
@@ -0,0 +1,209 @@
+"""Listener for requests of callers."""
+
+import asyncio
+from datetime import timedelta
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from celeryferry_core.admission import Admission
+from celeryferry_core.forwarding.outcomes import (
+    Merged,
+    NotRunResult,
+    RefusalReason,
+    Relayed,
+    RequestResult,
+)
+from celeryferry_core.forwarding.rules import pick_services
+from celeryferry_core.forwarding.session import ForwardingSession
+from celeryferry_core.ports import Clock, RandomSource
+from celeryferry_daemon._internal.forwarding.log_lines import LogLines
+from celeryferry_daemon._internal.forwarding.messages import (
+    CallerRequest,
+    CallerResponse,
+)
+from celeryferry_daemon._internal.forwarding.metrics import RequestMetrics
+from celeryferry_daemon._internal.forwarding.pool import UpstreamPool
+from celeryferry_daemon._internal.forwarding.ports import Wire
+from celeryferry_daemon._internal.forwarding.runner import SessionRun
+from celeryferry_daemon._internal.forwarding.state import HostState
+
+# Requests of one host that run at once; each needs about 30 KB and some connections.
+MAX_RUNNING = 400
+# Time for a request whose caller states none.
+DEFAULT_TIME_LEFT = timedelta(seconds=30)
+# A host that knows no configuration yet has one soon.
+UNCONFIGURED_RETRY_AFTER = timedelta(milliseconds=200)
+ONE_MS = timedelta(milliseconds=1)
+
+
+class CallersHandler:
+    """Answers requests of callers.
+
+    :param state: what this host knows.
+    :param pool: connections to the upstreams.
+    :param wire: messages of callers and upstreams.
+    :param clock: source of time.
+    :param random: source of random numbers.
+    :param log: receives one line for each request.
+    :param metrics: counts results.
+    :ivar is_leaving: whether connections are closed after their next response.
+    :ivar running_count: requests without a result.
+    """
+
+    __slots__ = (
+        "_admission",
+        "_clock",
+        "_log",
+        "_metrics",
+        "_pool",
+        "_random",
+        "_state",
+        "_wire",
+        "is_leaving",
+        "running_count",
+    )
+
+    def __init__(
+        self,
+        state: HostState,
+        pool: UpstreamPool,
+        wire: Wire,
+        clock: Clock,
+        random: RandomSource,
+        log: LogLines,
+        metrics: RequestMetrics,
+    ) -> None:
+        self._state = state
+        self._pool = pool
+        self._wire = wire
+        self._clock = clock
+        self._random = random
+        self._log = log
+        self._metrics = metrics
+        self._admission = Admission(MAX_RUNNING)
+        self.is_leaving = False
+        self.running_count = 0
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request.
+
+        :param request: the request; its handler is cancelled if the caller leaves.
+        :returns: the response.
+        """
+        started = self._clock.monotonic()
+        self.running_count += 1
+        try:
+            return await self._answer(request, started)
+        finally:
+            self.running_count -= 1
+
+    async def _answer(
+        self, request: web.BaseRequest, started: timedelta
+    ) -> web.StreamResponse:
+        configuration = self._state.configuration
+        if configuration is None:
+            refusal = NotRunResult(
+                RefusalReason.NO_CONFIGURATION, UNCONFIGURED_RETRY_AFTER
+            )
+            return self._respond(self._wire.make_response(refusal))
+        target = request.raw_path
+        rule = self._state.rules.find(request.headers.get("Host", ""), target)
+        if rule is None:
+            self._log.write_request(
+                "request_without_rule", True, host=request.host, target=target
+            )
+            return self._respond(CallerResponse(web.HTTPNotFound.status_code))
+        try:
+            body = await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            return self._respond(
+                CallerResponse(web.HTTPRequestEntityTooLarge.status_code)
+            )
+        headers = tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in request.raw_headers
+        )
+        read = CallerRequest(
+            self._wire.read_request_id(headers), request.method, target, headers, body
+        )
+        time_left = self._wire.read_time_left(headers) or DEFAULT_TIME_LEFT
+        services = pick_services(rule, self._random)
+        session = ForwardingSession(
+            rule, services, started, time_left, self._state.knowledge
+        )
+        result = await self._run(session, read)
+        self._note(session, read, result, started, configuration.version)
+        return self._respond(self._wire.make_response(result))
+
+    async def _run(
+        self, session: ForwardingSession, request: CallerRequest
+    ) -> RequestResult:
+        name = session.rule.name
+        refusal = self._admission.admit(name)
+        if refusal is not None:
+            retry_after = timedelta(milliseconds=refusal.retry_after_ms)
+            return NotRunResult(RefusalReason.OVERLOADED, retry_after)
+        started = self._clock.monotonic()
+        try:
+            run = SessionRun(session, request, self._pool, self._wire, self._clock)
+            return await run.run()
+        except asyncio.CancelledError:
+            self._metrics.count_abandoned(name)
+            self._log.write_request(
+                "caller_gone", False, request_id=request.request_id, rule=name
+            )
+            raise
+        finally:
+            self._admission.finish(name, (self._clock.monotonic() - started) / ONE_MS)
+
+    def _note(
+        self,
+        session: ForwardingSession,
+        request: CallerRequest,
+        result: RequestResult,
+        started: timedelta,
+        version: int,
+    ) -> None:
+        now = self._clock.monotonic()
+        elapsed = now - started
+        outcome = describe_result(result)
+        self._metrics.count_result(session.rule.name, outcome, elapsed)
+        is_failure = not isinstance(result, Relayed | Merged)
+        self._log.write_request(
+            "request_answered",
+            is_failure,
+            request_id=request.request_id,
+            rule=session.rule.name,
+            configuration_version=version,
+            upstreams_revision=self._state.registry.revision,
+            outcome=outcome,
+            elapsed_ms=round(elapsed / ONE_MS, 1),
+            attempts=[attempt.describe(now) for attempt in session.attempts],
+        )
+
+    def _respond(self, answer: CallerResponse) -> web.Response:
+        response = web.Response(
+            status=answer.status, headers=CIMultiDict(answer.headers), body=answer.body
+        )
+        if self.is_leaving:
+            response.force_close()
+        return response
+
+
+def describe_result(result: RequestResult) -> str:
+    """Return the result as one word of a log line.
+
+    :param result: result of a request.
+    """
+    match result:
+        case Relayed(response):
+            return "complete" if response.status < 300 else f"status_{response.status}"
+        case Merged(missing_count=0):
+            return "complete"
+        case Merged():
+            return "partly_covered"
+        case NotRunResult(reason):
+            return f"not_run_{reason.value}"
+        case unknown:
+            return f"unknown_{unknown.reason.value}"
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
@@ -0,0 +1,202 @@
+"""Task that follows one source of the platform."""
+
+import asyncio
+from datetime import timedelta
+
+from result import Err, Ok
+
+from celeryferry_core.ports import Clock, RandomSource
+from celeryferry_daemon._internal.forwarding.log_lines import LogLines
+from celeryferry_daemon._internal.forwarding.ports import (
+    HistoryGoneError,
+    Source,
+    SourceChanges,
+    SourceItem,
+)
+from celeryferry_daemon._internal.forwarding.state import HostState
+
+# All hosts lose the source together; the random part spreads their next calls.
+MIN_RETRY_DELAY = timedelta(milliseconds=100)
+MAX_RETRY_DELAY = timedelta(milliseconds=800)
+# A peer that knows a later change for this long shows that the own watch is dead.
+STALE_TIME = timedelta(seconds=1)
+
+
+class SourceFollower:
+    """Keeps a copy of a source and applies its changes to the host's state.
+
+    :param source: the source.
+    :param state: receives the changes.
+    :param clock: source of time.
+    :param random: source of random numbers.
+    :param log: receives a line when the source is lost or regained.
+    :ivar revision: revision up to which all changes are known, 0 before the first.
+    :ivar latest_change: highest revision of a change that was seen.
+    """
+
+    __slots__ = (
+        "_behind_since",
+        "_clock",
+        "_failures",
+        "_has_listing",
+        "_items",
+        "_log",
+        "_random",
+        "_state",
+        "is_lost",
+        "latest_change",
+        "revision",
+        "source",
+    )
+
+    def __init__(
+        self,
+        source: Source,
+        state: HostState,
+        clock: Clock,
+        random: RandomSource,
+        log: LogLines,
+    ) -> None:
+        self.source = source
+        self._state = state
+        self._clock = clock
+        self._random = random
+        self._log = log
+        self._items: dict[str, SourceItem] = {}
+        self._has_listing = False
+        self._failures = 0
+        self._behind_since: timedelta | None = None
+        self.is_lost = False
+        self.revision = 0
+        self.latest_change = 0
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the source was read, here or by a peer."""
+        return self.revision > 0
+
+    async def run(self) -> None:
+        """Follow the source until cancelled."""
+        while True:
+            asked_revision = self.revision
+            if self._has_listing:
+                result = await self.source.watch(asked_revision)
+            else:
+                result = await self.source.read_all()
+            match result:
+                case Ok(changes):
+                    self._note_back()
+                    self._take(changes, asked_revision)
+                case Err(HistoryGoneError()):
+                    self._log.write("source_history_gone", source=self.source.name)
+                    self._has_listing = False
+                case Err(error):
+                    self._note_lost(str(error))
+                    await asyncio.sleep(self._pick_delay())
+
+    def copy(self) -> SourceChanges | None:
+        """Return a copy for a peer.
+
+        :returns: all items, or None if this host itself may be out of date.
+        """
+        if (
+            self.is_lost
+            or not self._has_listing
+            or self._state.registry.is_in_grace(self._clock.monotonic())
+        ):
+            return None
+        return SourceChanges(tuple(self._items.values()), self.revision)
+
+    def is_behind(self, peer_latest_change: int) -> bool:
+        """Tell whether a copy should be fetched from a peer.
+
+        :param peer_latest_change: latest change that the peer has seen.
+        :returns: True if the peer is ahead and has been for ``STALE_TIME``, or at
+            once if this host can't read the source.
+        """
+        if peer_latest_change <= self.revision:
+            self._behind_since = None
+            return False
+        now = self._clock.monotonic()
+        if self._behind_since is None:
+            self._behind_since = now
+        return self.is_lost or now - self._behind_since >= STALE_TIME
+
+    def adopt(self, copy: SourceChanges) -> None:
+        """Take over the copy of a peer if it is newer.
+
+        :param copy: copy of the source.
+        """
+        if copy.revision <= self.revision:
+            return
+        self._log.write(
+            "source_copied_from_peer",
+            source=self.source.name,
+            revision=copy.revision,
+            own_revision=self.revision,
+        )
+        self._replace_items(copy, is_confirmed=True)
+
+    def _take(self, changes: SourceChanges, asked_revision: int) -> None:
+        if not self._has_listing:
+            if changes.revision >= self.revision:
+                self._replace_items(changes, is_confirmed=False)
+            self._has_listing = True
+            return
+        now = self._clock.monotonic()
+        for item in changes.items:
+            known = self._items.get(item.key)
+            if known is not None and known.revision >= item.revision:
+                continue
+            # A copy of a peer may have brought this change already.
+            if known is None and item.revision <= self.revision != asked_revision:
+                continue
+            self._apply(item, now)
+        self._set_revision(max(self.revision, changes.revision))
+
+    def _replace_items(self, listing: SourceChanges, is_confirmed: bool) -> None:
+        now = self._clock.monotonic()
+        listed = {item.key for item in listing.items}
+        for key in [key for key in self._items if key not in listed]:
+            self._apply(SourceItem(key, listing.revision, None), now, is_confirmed)
+        for item in listing.items:
+            self._apply(item, now)
+        self._set_revision(listing.revision)
+        self._has_listing = True
+
+    def _set_revision(self, revision: int) -> None:
+        self.revision = revision
+        self._state.registry.revision = max(self._state.registry.revision, revision)
+
+    def _apply(
+        self, item: SourceItem, now: timedelta, is_confirmed: bool = False
+    ) -> None:
+        if item.value is None:
+            self._items.pop(item.key, None)
+        else:
+            self._items[item.key] = item
+        self.latest_change = max(self.latest_change, item.revision)
+        change = self.source.decode(item)
+        if change is not None:
+            self._state.apply(change, now, is_confirmed)
+
+    def _note_lost(self, reason: str) -> None:
+        self._failures += 1
+        if not self.is_lost:
+            self.is_lost = True
+            self._state.registry.note_source_lost()
+            self._log.write("source_lost", source=self.source.name, reason=reason)
+
+    def _note_back(self) -> None:
+        self._failures = 0
+        if self.is_lost:
+            self.is_lost = False
+            self._state.registry.note_source_back(self._clock.monotonic())
+            self._log.write(
+                "source_back", source=self.source.name, revision=self.revision
+            )
+
+    def _pick_delay(self) -> float:
+        bound = MIN_RETRY_DELAY * 2 ** min(self._failures, 6)
+        delay = min(MAX_RETRY_DELAY, bound) * (0.5 + 0.5 * self._random.random())
+        return delay.total_seconds()
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/metrics.py
@@ -0,0 +1,47 @@
+"""Counters and latency histograms of the forwarding daemon."""
+
+from datetime import timedelta
+
+from aioprometheus import Counter, Histogram, Registry
+
+# Upper bounds in seconds around the targets of today's rules, 60 ms to 700 ms.
+LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.5, 5.0)
+
+
+class RequestMetrics:
+    """Counts the results of requests.
+
+    :param registry: registry of the process.
+    """
+
+    __slots__ = ("_latencies", "_results")
+
+    def __init__(self, registry: Registry) -> None:
+        self._results = Counter(
+            "celeryferry_requests_total",
+            "Requests by rule and result.",
+            registry=registry,
+        )
+        self._latencies = Histogram(
+            "celeryferry_request_seconds",
+            "Time from the whole request to its result.",
+            registry=registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+
+    def count_result(self, rule: str, outcome: str, elapsed: timedelta) -> None:
+        """Count a request with a result.
+
+        :param rule: name of its rule.
+        :param outcome: its result in one word.
+        :param elapsed: time it took.
+        """
+        self._results.inc({"rule": rule, "outcome": outcome})
+        self._latencies.observe({"rule": rule}, elapsed.total_seconds())
+
+    def count_abandoned(self, rule: str) -> None:
+        """Count a request whose caller left.
+
+        :param rule: name of its rule.
+        """
+        self._results.inc({"rule": rule, "outcome": "caller_gone"})
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/pool.py
@@ -0,0 +1,205 @@
+"""Connections of this host to the upstreams."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from celeryferry_core.forwarding.models import Upstream
+from celeryferry_core.forwarding.outcomes import LossReason, Lost, Refused
+from celeryferry_core.forwarding.outcomes import RefusalReason as Reason
+from celeryferry_core.ports import Clock
+from celeryferry_daemon._internal.forwarding.connection import (
+    Accepts,
+    ConnectionLost,
+    MalformedResponse,
+    RawResponse,
+    UpstreamConnection,
+)
+
+# A host that is gone does not answer; connecting takes a few milliseconds otherwise.
+CONNECT_TIMEOUT = timedelta(milliseconds=500)
+# Idle connections are closed by the upstream after its own time; this bound holds where
+# it states none.
+IDLE_TIME = timedelta(seconds=4)
+# A connection that the upstream is about to close is not used again.
+IDLE_MARGIN = timedelta(milliseconds=500)
+# A request that can't be repeated does not risk a connection that may just be closing.
+FRESH_IDLE_TIME = timedelta(milliseconds=500)
+
+
+@dataclass(slots=True)
+class _Idle:
+    connection: UpstreamConnection
+    since: timedelta
+    usable_for: timedelta
+
+
+class UpstreamPool:
+    """Open connections by upstream instance.
+
+    :param clock: source of time.
+    :ivar opened_count: connections opened so far.
+    """
+
+    __slots__ = ("_busy", "_clock", "_idle", "opened_count")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._idle: dict[str, list[_Idle]] = {}
+        self._busy: set[UpstreamConnection] = set()
+        self.opened_count = 0
+
+    async def exchange(
+        self,
+        upstream: Upstream,
+        make_payload: Callable[[timedelta], bytes | None],
+        accepts: Accepts,
+        deadline: timedelta,
+        is_repeatable: bool,
+    ) -> RawResponse | Refused | Lost:
+        """Send one request once and wait for its response.
+
+        :param upstream: where to send it.
+        :param make_payload: returns the request for the time that is left when it is
+            sent, or None if it must not be sent any more.
+        :param accepts: tells whether a response belongs to the request.
+        :param deadline: monotonic time at which to give up.
+        :param is_repeatable: whether the request may run more than once.
+        :returns: the response, a refusal if nothing was sent, or a loss.
+        """
+        is_sent = False
+        try:
+            async with asyncio.timeout(self._seconds_until(deadline)):
+                connection = self._take_idle(upstream, is_repeatable)
+                if connection is None:
+                    connection = await self._open(upstream)
+                if connection is None:
+                    return Refused(Reason.CONNECT_FAILED)
+                payload = make_payload(self._clock.monotonic())
+                if payload is None:
+                    self._give_back(upstream, connection, None)
+                    return Refused(Reason.NOT_SENT)
+                is_sent = True
+                return await self._exchange(upstream, connection, payload, accepts)
+        except TimeoutError:
+            if is_sent:
+                # The connection may be dead without a reset, and others with it.
+                self.close_idle(upstream.instance_id)
+                return Lost(LossReason.TIMEOUT)
+            return Refused(Reason.CONNECT_FAILED)
+
+    def close_idle(self, instance_id: str) -> None:
+        """Close the idle connections to an upstream.
+
+        :param instance_id: id of the upstream.
+        """
+        for idle in self._idle.pop(instance_id, []):
+            idle.connection.close()
+
+    def close_expired(self) -> None:
+        """Close connections that have been idle for too long."""
+        now = self._clock.monotonic()
+        for instance_id, listed in list(self._idle.items()):
+            for idle in list(listed):
+                if now - idle.since >= idle.usable_for:
+                    idle.connection.close()
+            if not listed:
+                self._idle.pop(instance_id, None)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for instance_id in list(self._idle):
+            self.close_idle(instance_id)
+        for connection in list(self._busy):
+            connection.close()
+
+    def _seconds_until(self, deadline: timedelta) -> float:
+        return max(0.0, (deadline - self._clock.monotonic()).total_seconds())
+
+    async def _open(self, upstream: Upstream) -> UpstreamConnection | None:
+        ip, _, port = upstream.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
+                _, connection = await loop.create_connection(
+                    lambda: UpstreamConnection(self._forget), ip, int(port)
+                )
+        except (OSError, ValueError, TimeoutError):
+            return None
+        self.opened_count += 1
+        self._busy.add(connection)
+        return connection
+
+    async def _exchange(
+        self,
+        upstream: Upstream,
+        connection: UpstreamConnection,
+        payload: bytes,
+        accepts: Accepts,
+    ) -> RawResponse | Lost:
+        outcome = await connection.exchange(payload, accepts)
+        match outcome:
+            case RawResponse():
+                self._give_back(upstream, connection, outcome)
+                return outcome
+            case ConnectionLost():
+                return Lost(LossReason.CONNECTION_LOST)
+            case MalformedResponse():
+                return Lost(LossReason.BAD_RESPONSE)
+
+    def _take_idle(
+        self, upstream: Upstream, is_repeatable: bool
+    ) -> UpstreamConnection | None:
+        listed = self._idle.get(upstream.instance_id, [])
+        now = self._clock.monotonic()
+        while listed:
+            idle = listed.pop()
+            idle_time = now - idle.since
+            is_fresh = is_repeatable or idle_time < FRESH_IDLE_TIME
+            if idle_time < idle.usable_for and is_fresh:
+                self._busy.add(idle.connection)
+                return idle.connection
+            idle.connection.close()
+        return None
+
+    def _give_back(
+        self,
+        upstream: Upstream,
+        connection: UpstreamConnection,
+        response: RawResponse | None,
+    ) -> None:
+        self._busy.discard(connection)
+        is_clean = not connection.has_leftover and not connection.is_closed
+        is_written = (
+            connection.transport is not None
+            and not connection.transport.get_write_buffer_size()
+        )
+        keep_open = response is None or response.keep_open
+        usable_for = read_keep_alive(response)
+        if is_clean and is_written and keep_open and usable_for > timedelta(0):
+            idle = _Idle(connection, self._clock.monotonic(), usable_for)
+            self._idle.setdefault(upstream.instance_id, []).append(idle)
+        else:
+            connection.close()
+
+    def _forget(self, connection: UpstreamConnection) -> None:
+        self._busy.discard(connection)
+        for listed in self._idle.values():
+            for idle in listed:
+                if idle.connection is connection:
+                    listed.remove(idle)
+                    return
+
+
+def read_keep_alive(response: RawResponse | None) -> timedelta:
+    """Return for how long a connection may be used after a response.
+
+    :param response: the response, None if there was none.
+    """
+    value = None if response is None else response.get("keep-alive")
+    for part in (value or "").split(","):
+        name, _, number = part.strip().partition("=")
+        if name.lower() == "timeout" and number.strip().isdigit():
+            return min(IDLE_TIME, timedelta(seconds=int(number)) - IDLE_MARGIN)
+    return IDLE_TIME
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/ports.py
@@ -0,0 +1,182 @@
+"""Ports that the platform's adapter implements for the forwarding daemon."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Protocol
+
+from result import Result
+
+from celeryferry_core.exceptions import CeleryferryError
+from celeryferry_core.forwarding.models import ForwardingConfiguration, Upstream
+from celeryferry_core.forwarding.outcomes import AttemptOutcome, RequestResult
+from celeryferry_daemon._internal.forwarding.connection import RawResponse
+from celeryferry_daemon._internal.forwarding.messages import (
+    CallerRequest,
+    CallerResponse,
+)
+
+
+class SourceUnavailableError(CeleryferryError):
+    """The source did not answer, or refused the call; try again later."""
+
+
+class HistoryGoneError(CeleryferryError):
+    """The source no longer has the changes after a revision; read everything again."""
+
+
+@dataclass(frozen=True, slots=True)
+class SourceItem:
+    """One item of a source, or the removal of one.
+
+    :param key: its key.
+    :param revision: revision of its latest change.
+    :param value: its bytes, None if it was removed.
+    """
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class SourceChanges:
+    """Items or changes as of a revision.
+
+    :param items: items or changes in order.
+    :param revision: revision that they reflect.
+    """
+
+    items: tuple[SourceItem, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamListed:
+    """An upstream is listed.
+
+    :param upstream: its entry.
+    """
+
+    upstream: Upstream
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamUnlisted:
+    """An entry is gone, or names no upstream.
+
+    :param instance_id: id of the upstream.
+    :param is_removed: False if the entry is there and can't be used.
+    """
+
+    instance_id: str
+    is_removed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationPublished:
+    """Operators published a configuration.
+
+    :param configuration: its content.
+    """
+
+    configuration: ForwardingConfiguration
+
+
+@dataclass(frozen=True, slots=True)
+class DomainTakenOut:
+    """A failure domain gets no work.
+
+    :param failure_domain: its name.
+    """
+
+    failure_domain: str
+
+
+@dataclass(frozen=True, slots=True)
+class DomainTakenBack:
+    """A failure domain gets work again.
+
+    :param failure_domain: its name.
+    """
+
+    failure_domain: str
+
+
+@dataclass(frozen=True, slots=True)
+class ItemRejected:
+    """An item can't be used and changes nothing.
+
+    :param key: its key.
+    :param reason: why.
+    """
+
+    key: str
+    reason: str
+
+
+Change = (
+    UpstreamListed
+    | UpstreamUnlisted
+    | ConfigurationPublished
+    | DomainTakenOut
+    | DomainTakenBack
+    | ItemRejected
+)
+
+
+class Source(Protocol):
+    """Part of the platform's store: either upstreams or what operators publish."""
+
+    name: str
+
+    async def read_all(
+        self,
+    ) -> Result[SourceChanges, SourceUnavailableError | HistoryGoneError]:
+        """Read all items."""
+
+    async def watch(
+        self, after_revision: int
+    ) -> Result[SourceChanges, SourceUnavailableError | HistoryGoneError]:
+        """Wait for changes; returns none if there were none in time."""
+
+    def decode(self, item: SourceItem) -> Change | None:
+        """Translate an item; None if it is of no interest here."""
+
+
+class Wire(Protocol):
+    """Messages of callers and upstreams."""
+
+    READINESS_PATH: str
+    ENTRY_HOSTS_PATH: str
+
+    def read_time_left(self, headers: Iterable[tuple[str, str]]) -> timedelta | None:
+        """Return how long the caller will wait, None if it states nothing."""
+
+    def read_request_id(self, headers: Iterable[tuple[str, str]]) -> str:
+        """Return the id of a request, empty if it has none."""
+
+    def make_payload(
+        self, request: CallerRequest, upstream: Upstream, time_left: timedelta
+    ) -> bytes | None:
+        """Return the request for an upstream, None if no time is left."""
+
+    def belongs_to(self, request: CallerRequest, response: RawResponse) -> bool:
+        """Tell whether a response answers this request."""
+
+    def judge_response(self, response: RawResponse) -> AttemptOutcome:
+        """Translate the response of an upstream."""
+
+    def read_load(self, response: RawResponse) -> int | None:
+        """Return the running and waiting requests that an upstream reports."""
+
+    def make_response(self, result: RequestResult) -> CallerResponse:
+        """Return what the caller gets."""
+
+    def read_caller_domain(self, query: Mapping[str, str]) -> str:
+        """Return the failure domain of a caller that asks for entry hosts."""
+
+    def make_entry_hosts(
+        self, addresses: list[str], validity: timedelta
+    ) -> CallerResponse:
+        """Return the answer to a caller that asks for entry hosts."""
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/runner.py
@@ -0,0 +1,135 @@
+"""Runs forwarding sessions: carries out their actions and reports what happens."""
+
+import asyncio
+from datetime import timedelta
+
+from celeryferry_core.forwarding.events import (
+    Action,
+    AttemptEnded,
+    CallerGone,
+    CancelAttempt,
+    Finish,
+    SendAttempt,
+    SetTimer,
+    TimerFired,
+)
+from celeryferry_core.forwarding.outcomes import LossReason, Lost, RequestResult
+from celeryferry_core.forwarding.session import ForwardingSession
+from celeryferry_core.ports import Clock
+from celeryferry_daemon._internal.forwarding.connection import RawResponse
+from celeryferry_daemon._internal.forwarding.messages import CallerRequest
+from celeryferry_daemon._internal.forwarding.pool import UpstreamPool
+from celeryferry_daemon._internal.forwarding.ports import Wire
+
+
+class SessionRun:
+    """One session with its attempts and its timer.
+
+    Attempts that are still open when the result is known go on in the background, so
+    that their connections can be used again.
+
+    :param session: the session.
+    :param request: request of the caller.
+    :param pool: connections to the upstreams.
+    :param wire: messages of upstreams.
+    :param clock: source of time.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_loop",
+        "_pool",
+        "_request",
+        "_result",
+        "_session",
+        "_tasks",
+        "_timer",
+        "_wire",
+    )
+
+    def __init__(
+        self,
+        session: ForwardingSession,
+        request: CallerRequest,
+        pool: UpstreamPool,
+        wire: Wire,
+        clock: Clock,
+    ) -> None:
+        self._session = session
+        self._request = request
+        self._pool = pool
+        self._wire = wire
+        self._clock = clock
+        self._loop = asyncio.get_running_loop()
+        self._tasks: dict[int, asyncio.Task] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._result: asyncio.Future[RequestResult] = self._loop.create_future()
+
+    async def run(self) -> RequestResult:
+        """Run the session.
+
+        Cancelling the call means that the caller is gone.
+
+        :returns: its result.
+        """
+        try:
+            self._apply(self._session.start(self._clock.monotonic()))
+            return await self._result
+        except asyncio.CancelledError:
+            self._apply(self._session.handle(CallerGone(), self._clock.monotonic()))
+            raise
+        finally:
+            if self._timer is not None:
+                self._timer.cancel()
+
+    def _apply(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case SendAttempt(attempt_id=attempt_id):
+                    task = self._loop.create_task(self._attempt(action))
+                    self._tasks[attempt_id] = task
+                case CancelAttempt(attempt_id):
+                    task = self._tasks.get(attempt_id)
+                    if task is not None:
+                        task.cancel()
+                case SetTimer(at):
+                    self._set_timer(at)
+                case Finish(result):
+                    if not self._result.done():
+                        self._result.set_result(result)
+
+    def _set_timer(self, at: timedelta) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        delay = (at - self._clock.monotonic()).total_seconds()
+        self._timer = self._loop.call_later(max(0.0, delay), self._fire)
+
+    def _fire(self) -> None:
+        self._timer = None
+        self._apply(self._session.handle(TimerFired(), self._clock.monotonic()))
+
+    async def _attempt(self, action: SendAttempt) -> None:
+        ended = AttemptEnded(action.attempt_id, Lost(LossReason.CANCELLED))
+        try:
+            ended = await self._exchange(action)
+        finally:
+            self._tasks.pop(action.attempt_id, None)
+            self._apply(self._session.handle(ended, self._clock.monotonic()))
+
+    async def _exchange(self, action: SendAttempt) -> AttemptEnded:
+        request, upstream = self._request, action.upstream
+
+        def make_payload(now: timedelta) -> bytes | None:
+            return self._wire.make_payload(request, upstream, action.deadline - now)
+
+        outcome = await self._pool.exchange(
+            upstream,
+            make_payload,
+            lambda response: self._wire.belongs_to(request, response),
+            action.deadline,
+            self._session.rule.is_repeatable,
+        )
+        if not isinstance(outcome, RawResponse):
+            return AttemptEnded(action.attempt_id, outcome)
+        judged = self._wire.judge_response(outcome)
+        return AttemptEnded(action.attempt_id, judged, self._wire.read_load(outcome))
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/__main__.py
@@ -0,0 +1,48 @@
+"""Command entry of ``celeryferryd`` on the users' platform."""
+
+import asyncio
+import gc
+import sys
+
+from result import Err, Ok
+
+from celeryferry_daemon._internal.command import EXIT_BAD_SETTINGS, GC_THRESHOLDS
+from celeryferry_daemon._internal.forwarding.app import ForwardingDaemon
+from celeryferry_daemon._internal.forwarding.settings import ForwardingSettings
+from celeryferry_daemon.platform import wire
+from celeryferry_daemon.platform.boot import load_settings
+from celeryferry_daemon.platform.sources import OperatorSource, UpstreamSource
+from celeryferry_daemon.platform.store import StoreClient
+
+
+async def serve(settings: ForwardingSettings) -> None:
+    """Run the daemon until it is told to stop.
+
+    :param settings: checked settings.
+    """
+    client = StoreClient(settings.store_address)
+    sources = [UpstreamSource(client), OperatorSource(client)]
+    try:
+        await ForwardingDaemon(settings, sources, wire, load_settings).run()
+    finally:
+        await client.close()
+
+
+def main() -> int:
+    """Read the platform's settings and serve.
+
+    :returns: exit code of the process.
+    """
+    match load_settings():
+        case Err(error):
+            print(error, file=sys.stderr)
+            return EXIT_BAD_SETTINGS
+        case Ok(settings):
+            gc.freeze()
+            gc.set_threshold(*GC_THRESHOLDS)
+            asyncio.run(serve(settings))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/boot.py
@@ -0,0 +1,97 @@
+"""The settings file that the platform writes for a process."""
+
+import os
+from datetime import timedelta
+from pathlib import Path
+
+import msgspec
+from result import Err, Ok, Result
+
+from celeryferry_daemon._internal.forwarding.settings import (
+    ForwardingSettings,
+    UnreadableSettingsError,
+)
+
+SETTINGS_VARIABLE = "CELERYFERRY_BOOT"
+
+
+class _Addresses(msgspec.Struct):
+    http: str
+    readiness: str
+    admin: str
+    directory: str
+
+
+class _Parameters(msgspec.Struct):
+    retry_ratio: float = 0.2
+    retry_burst: float = 50.0
+    warmup_excess: float = 1.0
+    warmup_tolerance: float = 0.0
+    # Time from SIGTERM to SIGKILL.
+    grace_s: float = 6.0
+    # Longest time for which an answer of the directory counts.
+    ttl_max_s: float = 5.0
+
+
+class _Store(msgspec.Struct):
+    address: str
+
+
+class _Limits(msgspec.Struct):
+    max_fds: int = 1024
+
+
+class _Boot(msgspec.Struct):
+    node_name: str
+    zone: str
+    bind_addrs: _Addresses
+    platform: _Store
+    seed_nodes: list[str] = []
+    parameters: _Parameters = msgspec.field(default_factory=_Parameters)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+def read_settings(text: bytes) -> Result[ForwardingSettings, UnreadableSettingsError]:
+    """Translate the platform's settings.
+
+    :param text: content of the file.
+    :returns: settings of the daemon, or why they can't be used.
+    """
+    try:
+        boot = msgspec.json.decode(text, type=_Boot)
+    except msgspec.MsgspecError as error:
+        return Err(UnreadableSettingsError(str(error)))
+    parameters = boot.parameters
+    return Ok(
+        ForwardingSettings(
+            host_id=boot.node_name,
+            failure_domain=boot.zone,
+            callers_address=boot.bind_addrs.http,
+            readiness_address=boot.bind_addrs.readiness,
+            peers_address=boot.bind_addrs.admin,
+            entry_hosts_address=boot.bind_addrs.directory,
+            seed_addresses=tuple(boot.seed_nodes),
+            store_address=boot.platform.address,
+            extra_ratio=parameters.retry_ratio,
+            extra_burst=parameters.retry_burst,
+            cold_excess=parameters.warmup_excess,
+            cold_tolerance=parameters.warmup_tolerance,
+            stop_time=timedelta(seconds=parameters.grace_s),
+            max_entry_hosts_validity=timedelta(seconds=parameters.ttl_max_s),
+            max_descriptors=boot.limits.max_fds,
+        )
+    )
+
+
+def load_settings() -> Result[ForwardingSettings, UnreadableSettingsError]:
+    """Read the settings file that the environment names.
+
+    :returns: settings of the daemon, or why they can't be used.
+    """
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if path is None:
+        return Err(UnreadableSettingsError(f"{SETTINGS_VARIABLE} is not set"))
+    try:
+        return read_settings(Path(path).read_bytes())
+    except OSError as error:
+        return Err(UnreadableSettingsError(f"cannot read {path}: {error}"))
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/entries.py
@@ -0,0 +1,175 @@
+"""Decoding of the entries that the platform's store holds."""
+
+from datetime import timedelta
+
+import msgspec
+from result import Err, Ok, Result
+
+from celeryferry_core.exceptions import CeleryferryError
+from celeryferry_core.forwarding.models import (
+    CallerBounds,
+    ForwardingConfiguration,
+    ForwardingRule,
+    ServiceBounds,
+    Sharded,
+    Upstream,
+    Weighted,
+    WeightedService,
+)
+
+CONFIGURATION_KEY = "op/config"
+DOMAIN_OUT_PREFIX = "op/evacuate/"
+UPSTREAM_PREFIX = "servers/"
+OPERATOR_PREFIX = "op/"
+
+_REPEATABLE = "idempotent"
+_READY = "ready"
+_DRAINING = "draining"
+# The platform states no bound for these; the time of the longest request it describes.
+_DEFAULT_TIMEOUT_MS = 5_000
+_DEFAULT_TARGET_MS = 500
+
+
+class UnreadableEntryError(CeleryferryError):
+    """An entry of the store is not in the platform's format."""
+
+
+class _Part(msgspec.Struct):
+    backend: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    # "idempotent" or "non_idempotent"; says only what may run more than once.
+    type: str = ""
+    timeout_ms: float = _DEFAULT_TIMEOUT_MS
+    target_latency_ms: float = _DEFAULT_TARGET_MS
+    priority: int = 0
+    attempts: int = 1
+    backend: str | None = None
+    traffic_split: list[_Part] | None = None
+    # Services that hold one shard each.
+    gather: list[str] | None = None
+    top_k: int = 0
+    min_shard_ratio: float = 1.0
+
+
+class _Backend(msgspec.Struct):
+    name: str
+    max_conns: int = 16
+    warmup_per_s: float = 0.0
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+    idle_timeout_ms: float = 60_000
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    backends: list[_Backend] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Server(msgspec.Struct):
+    backend: str
+    address: str
+    zone: str
+    lifecycle: str
+    capacity: int
+    # Time left of the cold start, as of the writing of the entry.
+    warmup_left_ms: float = 0.0
+    # Unix milliseconds of the start of this incarnation.
+    born: int = 0
+
+
+_CONFIGURATION = msgspec.json.Decoder(_Configuration)
+_SERVER = msgspec.json.Decoder(_Server)
+
+
+def decode_configuration(
+    value: bytes,
+) -> Result[ForwardingConfiguration, UnreadableEntryError]:
+    """Decode the operators' configuration.
+
+    :param value: value of ``CONFIGURATION_KEY``.
+    :returns: the configuration, or why it can't be used.
+    """
+    try:
+        found = _CONFIGURATION.decode(value)
+        rules = tuple(_translate_route(route) for route in found.routes)
+    except msgspec.MsgspecError as error:
+        return Err(UnreadableEntryError(str(error)))
+    except UnreadableEntryError as error:
+        return Err(error)
+    services = {
+        backend.name: ServiceBounds(backend.max_conns, backend.warmup_per_s)
+        for backend in found.backends
+    }
+    limits = found.limits
+    callers = CallerBounds(
+        limits.max_header_bytes,
+        limits.max_body_bytes,
+        timedelta(milliseconds=limits.idle_timeout_ms),
+    )
+    return Ok(ForwardingConfiguration(found.version, rules, services, callers))
+
+
+def decode_upstream(
+    instance_id: str, value: bytes
+) -> Result[Upstream, UnreadableEntryError]:
+    """Decode the entry of an upstream.
+
+    :param instance_id: last part of its key.
+    :param value: its value.
+    :returns: the upstream, or why the entry names none.
+    """
+    try:
+        server = _SERVER.decode(value)
+    except msgspec.MsgspecError as error:
+        return Err(UnreadableEntryError(str(error)))
+    ip, _, port = server.address.rpartition(":")
+    if server.lifecycle not in (_READY, _DRAINING) or not ip or not port.isdigit():
+        return Err(UnreadableEntryError(f"unusable entry of {instance_id}"))
+    return Ok(
+        Upstream(
+            instance_id=instance_id,
+            service=server.backend,
+            address=server.address,
+            failure_domain=server.zone,
+            slots=max(1, server.capacity),
+            is_draining=server.lifecycle == _DRAINING,
+            cold_for=timedelta(milliseconds=max(0.0, server.warmup_left_ms)),
+            started_ms=server.born,
+        )
+    )
+
+
+def _translate_route(route: _Route) -> ForwardingRule:
+    match route:
+        case _Route(gather=[_, *_] as services):
+            target = Sharded(tuple(services), route.top_k, route.min_shard_ratio)
+        case _Route(traffic_split=[_, *_] as parts):
+            target = Weighted(
+                tuple(WeightedService(part.backend, part.weight) for part in parts)
+            )
+        case _Route(backend=str(service)):
+            target = Weighted((WeightedService(service, 1.0),))
+        case _:
+            raise UnreadableEntryError(f"route {route.name} names no service")
+    return ForwardingRule(
+        name=route.name,
+        host_name=route.host,
+        path_prefix=route.path_prefix,
+        target=target,
+        is_repeatable=route.type == _REPEATABLE,
+        max_attempts=max(1, route.attempts),
+        timeout=timedelta(milliseconds=route.timeout_ms),
+        target_latency=timedelta(milliseconds=route.target_latency_ms),
+        priority=route.priority,
+    )
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/sources.py
@@ -0,0 +1,113 @@
+"""The two parts of the platform's store as sources of the daemon."""
+
+from result import Err, Ok, Result
+
+from celeryferry_daemon._internal.forwarding.ports import (
+    Change,
+    ConfigurationPublished,
+    DomainTakenBack,
+    DomainTakenOut,
+    HistoryGoneError,
+    ItemRejected,
+    SourceChanges,
+    SourceItem,
+    SourceUnavailableError,
+    UpstreamListed,
+    UpstreamUnlisted,
+)
+from celeryferry_daemon.platform.entries import (
+    CONFIGURATION_KEY,
+    DOMAIN_OUT_PREFIX,
+    OPERATOR_PREFIX,
+    UPSTREAM_PREFIX,
+    decode_configuration,
+    decode_upstream,
+)
+from celeryferry_daemon.platform.store import StoreClient
+
+
+class UpstreamSource:
+    """Upstreams that service discovery lists.
+
+    :param client: client of the store.
+    """
+
+    __slots__ = ("_client", "name")
+
+    def __init__(self, client: StoreClient) -> None:
+        self._client = client
+        self.name = "upstreams"
+
+    async def read_all(
+        self,
+    ) -> Result[SourceChanges, SourceUnavailableError | HistoryGoneError]:
+        """Read all entries."""
+        return await self._client.read_all(UPSTREAM_PREFIX)
+
+    async def watch(
+        self, after_revision: int
+    ) -> Result[SourceChanges, SourceUnavailableError | HistoryGoneError]:
+        """Wait for changes of entries.
+
+        :param after_revision: revision up to which changes are known.
+        """
+        return await self._client.watch(UPSTREAM_PREFIX, after_revision)
+
+    def decode(self, item: SourceItem) -> Change | None:
+        """Translate an entry.
+
+        :param item: the entry or its removal.
+        """
+        instance_id = item.key.removeprefix(UPSTREAM_PREFIX)
+        if item.value is None:
+            return UpstreamUnlisted(instance_id, is_removed=True)
+        match decode_upstream(instance_id, item.value):
+            case Ok(upstream):
+                return UpstreamListed(upstream)
+            case Err():
+                return UpstreamUnlisted(instance_id, is_removed=False)
+
+
+class OperatorSource:
+    """Configuration and failure domains taken out, as operators publish them.
+
+    :param client: client of the store.
+    """
+
+    __slots__ = ("_client", "name")
+
+    def __init__(self, client: StoreClient) -> None:
+        self._client = client
+        self.name = "operators"
+
+    async def read_all(
+        self,
+    ) -> Result[SourceChanges, SourceUnavailableError | HistoryGoneError]:
+        """Read everything that operators published."""
+        return await self._client.read_all(OPERATOR_PREFIX)
+
+    async def watch(
+        self, after_revision: int
+    ) -> Result[SourceChanges, SourceUnavailableError | HistoryGoneError]:
+        """Wait for what operators publish.
+
+        :param after_revision: revision up to which changes are known.
+        """
+        return await self._client.watch(OPERATOR_PREFIX, after_revision)
+
+    def decode(self, item: SourceItem) -> Change | None:
+        """Translate an item.
+
+        :param item: the item or its removal.
+        """
+        if item.key.startswith(DOMAIN_OUT_PREFIX):
+            domain = item.key.removeprefix(DOMAIN_OUT_PREFIX)
+            is_out = item.value is not None
+            return DomainTakenOut(domain) if is_out else DomainTakenBack(domain)
+        if item.key != CONFIGURATION_KEY or item.value is None:
+            return None
+        match decode_configuration(item.value):
+            case Ok(configuration):
+                return ConfigurationPublished(configuration)
+            case Err(error):
+                return ItemRejected(item.key, str(error))
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/store.py
@@ -0,0 +1,162 @@
+"""Client of the platform's store. It only reads."""
+
+import base64
+import binascii
+from datetime import timedelta
+
+import aiohttp
+import msgspec
+from result import Err, Ok, Result
+
+from celeryferry_daemon._internal.forwarding.ports import (
+    HistoryGoneError,
+    SourceChanges,
+    SourceItem,
+    SourceUnavailableError,
+)
+
+# The store answers in 4 ms, and in 240 ms while it is slow.
+READ_TIMEOUT = timedelta(seconds=1)
+CONNECT_TIMEOUT = timedelta(milliseconds=500)
+# A watch whose connection is silent is noticed after this time, which must lie within
+# the time that the platform gives a host to get in touch again. Each watch is paid for.
+WATCH_WAIT = timedelta(seconds=4)
+HISTORY_GONE_STATUS = 410
+OK_STATUS = 200
+
+
+class _Item(msgspec.Struct):
+    key: str
+    revision: int = 0
+    value: str | None = None
+    deleted: bool | int | None = None
+
+
+class _Range(msgspec.Struct):
+    items: list[_Item]
+    as_of: int
+    # Whether there are more items after the last one.
+    truncated: bool = False
+
+
+class _Watch(msgspec.Struct):
+    events: list[_Item]
+    as_of: int
+
+
+_RANGE = msgspec.json.Decoder(_Range)
+_WATCH = msgspec.json.Decoder(_Watch)
+
+
+class StoreClient:
+    """Reads and watches the store.
+
+    :param address: ``ip:port`` of the store.
+    """
+
+    __slots__ = ("_session", "_url")
+
+    def __init__(self, address: str) -> None:
+        self._url = f"http://{address}"
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(keepalive_timeout=30.0),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def read_all(
+        self, prefix: str
+    ) -> Result[SourceChanges, SourceUnavailableError | HistoryGoneError]:
+        """Read all items under a prefix.
+
+        The pages are no snapshot, so the result is as of the first page: a watch from
+        there repeats changes, but misses none.
+
+        :param prefix: beginning of the keys.
+        :returns: the items, or why there are none.
+        """
+        items: list[SourceItem] = []
+        revision: int | None = None
+        after = ""
+        while True:
+            params = {"path_prefix": prefix} | ({"after": after} if after else {})
+            answer = await self._get("/kv-range", params, READ_TIMEOUT)
+            match answer:
+                case Err(error):
+                    return Err(error)
+                case Ok(body):
+                    page = _decode(_RANGE, body)
+            if page is None:
+                return Err(SourceUnavailableError("unreadable answer to kv-range"))
+            revision = page.as_of if revision is None else revision
+            items += [_translate(item) for item in page.items]
+            if not page.truncated or not page.items:
+                return Ok(SourceChanges(tuple(items), revision))
+            after = page.items[-1].key
+
+    async def watch(
+        self, prefix: str, after_revision: int
+    ) -> Result[SourceChanges, SourceUnavailableError | HistoryGoneError]:
+        """Wait for changes under a prefix.
+
+        :param prefix: beginning of the keys.
+        :param after_revision: revision up to which changes are known.
+        :returns: the changes, none if there were none in time, or why it failed.
+        """
+        params = {
+            "path_prefix": prefix,
+            "after": str(after_revision),
+            "wait_ms": str(WATCH_WAIT // timedelta(milliseconds=1)),
+        }
+        answer = await self._get("/kv-watch", params, WATCH_WAIT + READ_TIMEOUT)
+        match answer:
+            case Err(error):
+                return Err(error)
+            case Ok(body):
+                found = _decode(_WATCH, body)
+        if found is None:
+            return Err(SourceUnavailableError("unreadable answer to kv-watch"))
+        items = tuple(_translate(item) for item in found.events)
+        return Ok(SourceChanges(items, found.as_of))
+
+    async def _get(
+        self, path: str, params: dict[str, str], timeout: timedelta
+    ) -> Result[bytes, SourceUnavailableError | HistoryGoneError]:
+        bounds = aiohttp.ClientTimeout(
+            total=timeout.total_seconds(),
+            sock_connect=CONNECT_TIMEOUT.total_seconds(),
+        )
+        try:
+            async with self._session.get(
+                self._url + path, params=params, timeout=bounds
+            ) as response:
+                body = await response.read()
+                status = response.status
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            return Err(SourceUnavailableError(f"{path}: {error!r}"))
+        if status == HISTORY_GONE_STATUS:
+            return Err(HistoryGoneError(f"{path}: history is gone"))
+        if status != OK_STATUS:
+            return Err(SourceUnavailableError(f"{path}: status {status}"))
+        return Ok(body)
+
+
+def _decode(decoder: msgspec.json.Decoder, body: bytes) -> _Range | _Watch | None:
+    try:
+        return decoder.decode(body)
+    except msgspec.MsgspecError:
+        return None
+
+
+def _translate(item: _Item) -> SourceItem:
+    if item.value is None or item.deleted:
+        return SourceItem(item.key, item.revision, None)
+    try:
+        value = base64.b64decode(item.value, validate=True)
+    except binascii.Error:
+        # Another writer's entry; it stays known as unreadable.
+        value = b""
+    return SourceItem(item.key, item.revision, value)
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/wire.py
@@ -0,0 +1,214 @@
+"""HTTP messages between callers, this host and upstreams, in the platform's terms."""
+
+from collections.abc import Iterable, Mapping
+from datetime import timedelta
+
+import msgspec
+
+from celeryferry_core.forwarding.models import Upstream
+from celeryferry_core.forwarding.outcomes import (
+    AttemptOutcome,
+    Failed,
+    LossReason,
+    Lost,
+    Merged,
+    NotRunResult,
+    RefusalReason,
+    Refused,
+    Relayed,
+    RequestResult,
+    Succeeded,
+    UnknownResult,
+    UpstreamResponse,
+)
+from celeryferry_daemon._internal.forwarding.connection import RawResponse
+from celeryferry_daemon._internal.forwarding.messages import (
+    CallerRequest,
+    CallerResponse,
+)
+
+READINESS_PATH = "/readyz"
+ENTRY_HOSTS_PATH = "/resolve"
+REQUEST_ID = "x-request-id"
+DEADLINE_MS = "x-deadline-ms"
+EXPECT_INSTANCE = "x-expect-instance"
+STAMP = "x-server-stamp"
+NOT_EXECUTED = "x-not-executed"
+LOAD = "x-server-load"
+PART_STAMPS = "X-Part-Stamps"
+MISSING_PARTS = "X-Missing-Parts"
+RETRY_AFTER = "Retry-After"
+
+# Headers that concern one connection, and those that this host sets itself.
+_CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
+_SET_HERE = frozenset({DEADLINE_MS, EXPECT_INSTANCE})
+_DROPPED_FROM_RESPONSES = _CONNECTION_HEADERS | {LOAD, NOT_EXECUTED, "date", "server"}
+# Statuses that tell a caller that its request was not run.
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+_OTHER_INSTANCE_STATUS = 421
+_BAD_GATEWAY_STATUS = 502
+_UNAVAILABLE_STATUS = 503
+_GATEWAY_TIMEOUT_STATUS = 504
+_MIN_DEADLINE = timedelta(milliseconds=1)
+
+
+def read_time_left(headers: Iterable[tuple[str, str]]) -> timedelta | None:
+    """Return how long the caller will wait.
+
+    :param headers: headers of the request.
+    :returns: the time, or None if the caller states none.
+    """
+    for name, value in headers:
+        if name.lower() == DEADLINE_MS:
+            try:
+                return timedelta(milliseconds=float(value))
+            except (ValueError, OverflowError):
+                return None
+    return None
+
+
+def read_request_id(headers: Iterable[tuple[str, str]]) -> str:
+    """Return the id of a request, empty if it has none.
+
+    :param headers: headers of the request.
+    """
+    for name, value in headers:
+        if name.lower() == REQUEST_ID:
+            return value
+    return ""
+
+
+def make_payload(
+    request: CallerRequest, upstream: Upstream, time_left: timedelta
+) -> bytes | None:
+    """Return the request as it is sent to an upstream.
+
+    :param request: request of the caller.
+    :param upstream: where it goes.
+    :param time_left: time that is left to answer it.
+    :returns: head and body, or None if no time is left.
+    """
+    if time_left < _MIN_DEADLINE:
+        return None
+    named = {
+        part.strip().lower()
+        for name, value in request.headers
+        if name.lower() == "connection"
+        for part in value.split(",")
+    }
+    dropped = _CONNECTION_HEADERS | _SET_HERE | named
+    lines = [f"{request.method} {request.target} HTTP/1.1"]
+    lines += [f"{k}: {v}" for k, v in request.headers if k.lower() not in dropped]
+    lines.append(f"X-Deadline-Ms: {int(time_left / _MIN_DEADLINE)}")
+    lines.append(f"X-Expect-Instance: {upstream.instance_id}")
+    if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        lines.append(f"Content-Length: {len(request.body)}")
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    return head.encode("latin-1") + request.body
+
+
+def belongs_to(request: CallerRequest, response: RawResponse) -> bool:
+    """Tell whether a response answers a request and not an earlier one.
+
+    :param request: request of the caller.
+    :param response: response that came on its connection.
+    """
+    echoed = response.get(REQUEST_ID)
+    return echoed is None or not request.request_id or echoed == request.request_id
+
+
+def judge_response(response: RawResponse) -> AttemptOutcome:
+    """Translate the response of an upstream.
+
+    :param response: a complete response to the request.
+    :returns: what it says about the attempt.
+    """
+    status = response.status
+    if status == _OTHER_INSTANCE_STATUS:
+        return Refused(RefusalReason.OTHER_INSTANCE)
+    if response.get(NOT_EXECUTED) is not None:
+        return Refused(RefusalReason.UPSTREAM_REFUSED)
+    stamp = response.get(STAMP) or ""
+    headers = tuple(
+        (name, value)
+        for name, value in response.headers
+        if name not in _DROPPED_FROM_RESPONSES
+    )
+    translated = UpstreamResponse(status, headers, response.body, stamp)
+    if not 200 <= status < 300:
+        return Failed(translated)
+    if not stamp or response.get("content-encoding") is not None:
+        return Lost(LossReason.BAD_RESPONSE)
+    return Succeeded(translated)
+
+
+def read_load(response: RawResponse) -> int | None:
+    """Return the running and waiting requests that an upstream reports.
+
+    :param response: its response.
+    :returns: their number, or None if it reports none.
+    """
+    parts = (response.get(LOAD) or "").split(",")
+    try:
+        return int(parts[0]) + int(parts[1])
+    except (ValueError, IndexError):
+        return None
+
+
+def make_response(result: RequestResult) -> CallerResponse:
+    """Return what the caller gets.
+
+    :param result: result of its request.
+    """
+    match result:
+        case Relayed(response) if response.status in _NOT_RUN_STATUSES:
+            # The upstream ran the request, so its status must not be passed on.
+            return CallerResponse(_BAD_GATEWAY_STATUS)
+        case Relayed(response):
+            return CallerResponse(response.status, response.headers, response.body)
+        case Merged(stamps, missing_count, body):
+            headers = (
+                (PART_STAMPS, ", ".join(stamps)),
+                (MISSING_PARTS, str(missing_count)),
+            )
+            return CallerResponse(200, headers, body)
+        case NotRunResult(reason=reason, retry_after=retry_after):
+            headers = ((RETRY_AFTER, f"{retry_after.total_seconds():.3f}"),)
+            body = f"not run: {reason.value}\n".encode()
+            return CallerResponse(_UNAVAILABLE_STATUS, headers, body)
+        case UnknownResult(LossReason.TIMEOUT):
+            return CallerResponse(_GATEWAY_TIMEOUT_STATUS, (), b"outcome unknown\n")
+        case UnknownResult(reason):
+            body = f"outcome unknown: {reason.value}\n".encode()
+            return CallerResponse(_BAD_GATEWAY_STATUS, (), body)
+
+
+def read_caller_domain(query: Mapping[str, str]) -> str:
+    """Return the failure domain of a caller that asks for entry hosts.
+
+    :param query: parameters of its call.
+    :returns: the failure domain, empty if it states none.
+    """
+    return query.get("zone", "")
+
+
+def make_entry_hosts(addresses: list[str], validity: timedelta) -> CallerResponse:
+    """Return the answer to a caller that asks for entry hosts.
+
+    :param addresses: addresses for callers.
+    :param validity: how long the caller may keep them.
+    """
+    body = msgspec.json.encode({"addrs": addresses, "ttl_s": validity.total_seconds()})
+    return CallerResponse(200, (("Content-Type", "application/json"),), body)
