--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/log_lines.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/log_lines.py
@@ -99,19 +99,20 @@
     def flush(self) -> None:
         """Write what the output takes without blocking."""
         self._timer = None
-        data = self._partial + b"".join(self._waiting)
-        self._waiting.clear()
+        if not self._partial:
+            # Lines stay in the bounded queue until the earlier ones are written.
+            self._partial = b"".join(self._waiting)
+            self._waiting.clear()
         try:
-            written = os.write(self._descriptor, data) if data else 0
+            written = os.write(self._descriptor, self._partial)
         except BlockingIOError:
             written = 0
         except OSError:
             # Nobody reads the log any more; requests go on.
-            self.dropped_count += data.count(b"\n")
-            self._partial = b""
-            return
-        self._partial = data[written:]
-        if self._partial:
+            self.dropped_count += self._partial.count(b"\n")
+            written = len(self._partial)
+        self._partial = self._partial[written:]
+        if self._partial or self._waiting:
             self._schedule()
 
     def _add(self, line: bytes) -> None:
@@ -128,6 +129,6 @@
         try:
             loop = asyncio.get_running_loop()
         except RuntimeError:
-            self.flush()
+            # Before and after the event loop runs, lines are written with the next.
             return
         self._timer = loop.call_later(FLUSH_INTERVAL.total_seconds(), self.flush)
--- /dev/null
+++ b/tests/core/test_forwarding_knowledge.py
@@ -0,0 +1,223 @@
+"""Tests of what a host knows of upstreams, other hosts and rules."""
+
+import random
+import unittest
+from datetime import timedelta
+
+from celeryferry_core.forwarding.hosts import (
+    FORGET_TIMEOUT,
+    MAX_PASSED_ON,
+    SILENCE_TIMEOUT,
+    HostBeat,
+    HostTable,
+    choose_entry_hosts,
+)
+from celeryferry_core.forwarding.models import Weighted, WeightedService
+from celeryferry_core.forwarding.registry import RETURN_GRACE, UpstreamRegistry
+from celeryferry_core.forwarding.rules import RuleTable, pick_services
+from tests.core.forwarding_rig import make_sharded_rule, make_single_rule, make_upstream
+
+NOW = timedelta(seconds=100)
+
+
+def beat(number: int, domain: str = "a", **changes) -> HostBeat:
+    """Return the heartbeat of a host that serves callers."""
+    fields = {
+        "host_id": f"host-{number}",
+        "failure_domain": domain,
+        "callers_address": f"10.0.0.{number}:80",
+        "peers_address": f"10.0.0.{number}:81",
+        "started_ms": 1_000,
+        "beat": 1,
+        "is_ready": True,
+    }
+    return HostBeat(**(fields | changes))
+
+
+def make_table() -> HostTable:
+    """Return the table of host 1."""
+    return HostTable(beat(1), random.Random(3))
+
+
+def list_ids(beats: list[HostBeat]) -> set[str]:
+    """Return the ids of hosts."""
+    return {each.host_id for each in beats}
+
+
+class TestRegistry(unittest.TestCase):
+    """Guards which entries name an upstream while the store fails and returns."""
+
+    def setUp(self):
+        self.registry = UpstreamRegistry()
+        self.registry.put(make_upstream("s0", "a"), NOW)
+
+    def test_removed_entry_is_dropped_at_once(self):
+        """Guards against work for an upstream that is gone."""
+        self.assertTrue(self.registry.remove("s0-a", NOW))
+        self.assertEqual(len(self.registry), 0)
+
+    def test_entry_that_lapses_during_an_outage_is_kept(self):
+        """Guards against losing every upstream because the store was away."""
+        self.registry.note_source_lost()
+        self.assertFalse(self.registry.remove("s0-a", NOW))
+        self.assertIn("s0-a", self.registry.list_service("s0"))
+
+    def test_lapsed_entry_that_comes_back_is_kept(self):
+        """Guards against dropping an upstream that lives."""
+        self.registry.note_source_lost()
+        self.registry.note_source_back(NOW)
+        self.registry.remove("s0-a", NOW)
+        self.registry.put(make_upstream("s0", "a"), NOW + timedelta(seconds=1))
+        later = NOW + RETURN_GRACE
+        self.assertEqual(self.registry.drop_missing(later), [])
+        self.assertEqual(len(self.registry), 1)
+
+    def test_lapsed_entry_that_stays_away_is_dropped_after_the_grace(self):
+        """Guards against keeping an upstream that is gone."""
+        self.registry.note_source_lost()
+        self.registry.remove("s0-a", NOW)
+        self.registry.note_source_back(NOW)
+        early = NOW + RETURN_GRACE - timedelta(milliseconds=1)
+        self.assertEqual(self.registry.drop_missing(early), [])
+        self.assertEqual(self.registry.drop_missing(NOW + RETURN_GRACE), ["s0-a"])
+
+    def test_confirmed_removal_counts_during_an_outage(self):
+        """Guards against ignoring what a peer read while this host can't."""
+        self.registry.note_source_lost()
+        self.assertTrue(self.registry.remove("s0-a", NOW, is_confirmed=True))
+
+    def test_cold_time_counts_from_the_listing(self):
+        """Guards against a cold start that never ends or is not seen."""
+        cold = make_upstream("s0", "b", cold_for=timedelta(seconds=3))
+        self.registry.put(cold, NOW)
+        self.assertTrue(self.registry.is_cold("s0-b", NOW + timedelta(seconds=2.9)))
+        self.assertFalse(self.registry.is_cold("s0-b", NOW + timedelta(seconds=3)))
+
+    def test_upstream_turns_cold_again(self):
+        """Guards against a second cold start that is not seen."""
+        cold = make_upstream("s0", "a", cold_for=timedelta(seconds=3))
+        self.registry.put(cold, NOW)
+        self.assertTrue(self.registry.is_cold("s0-a", NOW))
+
+    def test_instance_that_moves_to_another_service_leaves_the_first(self):
+        """Guards against requests to a service that the upstream left."""
+        moved = make_upstream("s1", "a", instance_id="s0-a")
+        self.registry.put(moved, NOW)
+        self.assertEqual(dict(self.registry.list_service("s0")), {})
+        self.assertIn("s0-a", self.registry.list_service("s1"))
+
+
+class TestHostTable(unittest.TestCase):
+    """Guards which hosts are named to callers."""
+
+    def test_silent_host_is_not_named(self):
+        """Guards against naming a host that was killed."""
+        table = make_table()
+        table.merge([beat(2)], NOW)
+        self.assertIn("host-2", list_ids(table.list_serving(NOW + SILENCE_TIMEOUT)))
+        late = NOW + SILENCE_TIMEOUT + timedelta(milliseconds=1)
+        self.assertNotIn("host-2", list_ids(table.list_serving(late)))
+
+    def test_old_heartbeat_does_not_revive_a_host(self):
+        """Guards against a dead host that peers keep alive with what they remember."""
+        table = make_table()
+        table.merge([beat(2, beat=7)], NOW)
+        late = NOW + timedelta(seconds=5)
+        table.merge([beat(2, beat=7), beat(2, beat=6)], late)
+        self.assertNotIn("host-2", list_ids(table.list_serving(late)))
+
+    def test_leaving_host_is_not_named(self):
+        """Guards against callers sent to a host that is stopping."""
+        table = make_table()
+        table.merge([beat(2)], NOW)
+        table.merge([beat(2, beat=2, is_leaving=True)], NOW)
+        self.assertNotIn("host-2", list_ids(table.list_serving(NOW)))
+
+    def test_restarted_host_replaces_its_earlier_start(self):
+        """Guards against a restarted host that stays unknown."""
+        table = make_table()
+        table.merge([beat(2, beat=99, is_leaving=True)], NOW)
+        table.merge([beat(2, started_ms=2_000, beat=1)], NOW)
+        self.assertIn("host-2", list_ids(table.list_serving(NOW)))
+
+    def test_restart_with_an_earlier_wall_clock_is_accepted(self):
+        """Guards against a host that stays unknown after its clock was set back."""
+        table = make_table()
+        table.merge([beat(2, beat=99)], NOW)
+        late = NOW + SILENCE_TIMEOUT + timedelta(seconds=1)
+        table.merge([beat(2, started_ms=500, beat=1)], late)
+        self.assertIn("host-2", list_ids(table.list_serving(late)))
+
+    def test_own_pause_does_not_end_the_others(self):
+        """Guards against a paused host that names only itself when it wakes."""
+        table = make_table()
+        table.refresh_own(NOW, is_ready=True, is_leaving=False)
+        table.merge([beat(2)], NOW)
+        late = NOW + timedelta(seconds=20)
+        table.refresh_own(late, is_ready=True, is_leaving=False)
+        self.assertIn("host-2", list_ids(table.list_serving(late)))
+
+    def test_silent_host_is_forgotten(self):
+        """Guards against memory that grows with every host that ever was."""
+        table = make_table()
+        table.merge([beat(2)], NOW)
+        late = NOW + FORGET_TIMEOUT + timedelta(seconds=1)
+        self.assertEqual(list_ids(table.drop_silent(late)), {"host-2"})
+
+    def test_message_is_bounded_in_a_large_fleet(self):
+        """Guards against messages that grow with the fleet."""
+        table = make_table()
+        table.merge([beat(number) for number in range(2, 500)], NOW)
+        self.assertEqual(len(table.list_to_pass_on(NOW)), MAX_PASSED_ON)
+
+
+class TestEntryHosts(unittest.TestCase):
+    """Guards the choice of the hosts that a caller is told to use."""
+
+    def test_hosts_of_the_callers_domain_with_another_as_a_way_out(self):
+        """Guards against traffic between domains, and against having no way out."""
+        serving = [beat(n, "a") for n in (1, 2, 3)] + [beat(n, "b") for n in (4, 5)]
+        named = choose_entry_hosts(serving, "a", random.Random(1))
+        self.assertEqual(len([a for a in named if a in _addresses(1, 2, 3)]), 3)
+        self.assertEqual(len([a for a in named if a in _addresses(4, 5)]), 1)
+
+    def test_all_hosts_if_the_own_domain_has_too_few(self):
+        """Guards against one host that gets the traffic of a whole domain."""
+        serving = [beat(1, "a")] + [beat(n, "b") for n in (4, 5, 6)]
+        named = choose_entry_hosts(serving, "a", random.Random(1))
+        self.assertEqual(len(named), 4)
+
+
+def _addresses(*numbers: int) -> set[str]:
+    return {f"10.0.0.{number}:80" for number in numbers}
+
+
+class TestRules(unittest.TestCase):
+    """Guards the rule and the service of a request."""
+
+    def test_longest_prefix_wins(self):
+        """Guards against a request that takes the rule of a shorter prefix."""
+        short = make_single_rule(name="short", path_prefix="/a/")
+        long = make_single_rule(name="long", path_prefix="/a/b/")
+        table = RuleTable([short, long])
+        self.assertEqual(table.find("a.example", "/a/b/c").name, "long")
+        self.assertEqual(table.find("A.example:80", "/a/c?x=/a/b/").name, "short")
+
+    def test_no_rule_for_another_host_or_path(self):
+        """Guards against a request that is sent where no rule allows it."""
+        table = RuleTable([make_single_rule(path_prefix="/a/")])
+        self.assertIsNone(table.find("b.example", "/a/"))
+        self.assertIsNone(table.find("a.example", "/ab"))
+
+    def test_requests_are_shared_by_weight(self):
+        """Guards against parts that get more or less than their weight."""
+        parts = (WeightedService("s0", 3.0), WeightedService("s1", 1.0))
+        rule = make_single_rule(target=Weighted(parts))
+        source = random.Random(5)
+        picked = [pick_services(rule, source)[0] for _ in range(4_000)]
+        self.assertAlmostEqual(picked.count("s0") / 4_000, 0.75, delta=0.03)
+
+    def test_sharded_rule_goes_to_every_shard(self):
+        """Guards against a shard that is left out before it was asked."""
+        services = pick_services(make_sharded_rule(4), random.Random(5))
+        self.assertEqual(services, ("s0", "s1", "s2", "s3"))
--- /dev/null
+++ b/tests/daemon/test_forwarding_sources.py
@@ -0,0 +1,258 @@
+"""Tests of the follower of a source, of its copies from peers, and of the log."""
+
+import asyncio
+import json
+import os
+import random
+import unittest
+from datetime import timedelta
+
+from result import Err, Ok
+
+from celeryferry_core.forwarding.models import ForwardingConfiguration
+from celeryferry_daemon._internal.clock import SystemClock
+from celeryferry_daemon._internal.forwarding.follower import SourceFollower
+from celeryferry_daemon._internal.forwarding.log_lines import (
+    MAX_WAITING_LINES,
+    LogLines,
+)
+from celeryferry_daemon._internal.forwarding.pool import UpstreamPool
+from celeryferry_daemon._internal.forwarding.ports import (
+    ConfigurationPublished,
+    HistoryGoneError,
+    SourceChanges,
+    SourceItem,
+    SourceUnavailableError,
+    UpstreamListed,
+    UpstreamUnlisted,
+)
+from celeryferry_daemon._internal.forwarding.settings import ForwardingSettings
+from celeryferry_daemon._internal.forwarding.state import HostState
+from tests.core.forwarding_rig import make_single_rule, make_upstream
+
+
+def make_settings(**changes) -> ForwardingSettings:
+    """Return settings of a host that listens nowhere."""
+    fields = {
+        "host_id": "host-1",
+        "failure_domain": "a",
+        "callers_address": "127.0.0.1:0",
+        "readiness_address": "127.0.0.1:0",
+        "peers_address": "127.0.0.1:0",
+        "entry_hosts_address": "127.0.0.1:0",
+        "seed_addresses": (),
+        "store_address": "127.0.0.1:0",
+        "extra_ratio": 0.2,
+        "extra_burst": 100.0,
+        "cold_excess": 1.5,
+        "cold_tolerance": 5.0,
+        "stop_time": timedelta(seconds=6),
+        "max_entry_hosts_validity": timedelta(seconds=5),
+        "max_descriptors": 1000,
+    }
+    return ForwardingSettings(**(fields | changes))
+
+
+class ListLog(LogLines):
+    """Keeps lines in a list."""
+
+    def __init__(self):
+        super().__init__(SystemClock())
+        self.lines: list[tuple[str, dict]] = []
+
+    def write(self, event, **fields):
+        """Keep a line."""
+        self.lines.append((event, fields))
+
+    def count(self, event: str) -> int:
+        """Return how many lines there are of an event."""
+        return sum(name == event for name, _ in self.lines)
+
+
+class ScriptedSource:
+    """Answers calls from a list, then waits for ever.
+
+    :param results: results in the order of the calls.
+    """
+
+    def __init__(self, *results):
+        self.name = "upstreams"
+        self.results = list(results)
+        self.calls: list[int | None] = []
+        self.is_done = asyncio.Event()
+
+    async def _next(self, after):
+        self.calls.append(after)
+        if not self.results:
+            self.is_done.set()
+            await asyncio.Event().wait()
+        return self.results.pop(0)
+
+    async def read_all(self):
+        """Return the next result."""
+        return await self._next(None)
+
+    async def watch(self, after_revision):
+        """Return the next result."""
+        return await self._next(after_revision)
+
+    def decode(self, item):
+        """Translate ``service-domain`` keys."""
+        if item.value is None:
+            return UpstreamUnlisted(item.key, is_removed=True)
+        service, domain = item.key.split("-")
+        return UpstreamListed(make_upstream(service, domain))
+
+
+def listed(key: str, revision: int) -> SourceItem:
+    """Return an entry."""
+    return SourceItem(key, revision, b"value")
+
+
+def removed(key: str, revision: int) -> SourceItem:
+    """Return the removal of an entry."""
+    return SourceItem(key, revision, None)
+
+
+class TestFollower(unittest.IsolatedAsyncioTestCase):
+    """Guards what a host believes while its source fails and returns."""
+
+    async def follow(self, *results):
+        """Follow a scripted source to the end of its script."""
+        self.log = ListLog()
+        clock = SystemClock()
+        source = random.Random(1)
+        self.state = HostState(make_settings(), source, UpstreamPool(clock), self.log)
+        self.source = ScriptedSource(*results)
+        self.follower = SourceFollower(self.source, self.state, clock, source, self.log)
+        task = asyncio.create_task(self.follower.run())
+        await self.source.is_done.wait()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    def list_ids(self) -> set[str]:
+        """Return the ids of the listed upstreams of service s0."""
+        return set(self.state.registry.list_service("s0"))
+
+    async def test_changes_follow_the_listing(self):
+        """Guards against missed or repeated changes."""
+        await self.follow(
+            Ok(SourceChanges((listed("s0-a", 3),), 5)),
+            Ok(SourceChanges((listed("s0-b", 6), removed("s0-a", 7)), 7)),
+        )
+        self.assertEqual(self.source.calls, [None, 5, 7])
+        self.assertEqual(self.list_ids(), {"s0-b"})
+
+    async def test_lost_history_is_read_again(self):
+        """Guards against entries that vanished while the history was dropped."""
+        await self.follow(
+            Ok(SourceChanges((listed("s0-a", 3), listed("s0-b", 4)), 5)),
+            Err(HistoryGoneError("gone")),
+            Ok(SourceChanges((listed("s0-b", 4),), 9)),
+        )
+        self.assertEqual(self.source.calls, [None, 5, None, 9])
+        self.assertEqual(self.list_ids(), {"s0-b"})
+
+    async def test_outage_is_logged_once_and_keeps_the_upstreams(self):
+        """Guards against forgetting upstreams in an outage, and against a log flood."""
+        await self.follow(
+            Ok(SourceChanges((listed("s0-a", 3),), 5)),
+            Err(SourceUnavailableError("busy")),
+            Err(SourceUnavailableError("busy")),
+            Ok(SourceChanges((removed("s0-a", 6),), 6)),
+        )
+        self.assertEqual(self.log.count("source_lost"), 1)
+        self.assertEqual(self.log.count("source_back"), 1)
+        self.assertEqual(self.list_ids(), {"s0-a"}, "its entry may come back")
+
+    async def test_copy_of_a_peer_is_adopted_only_if_newer(self):
+        """Guards against a return to an older state."""
+        await self.follow(Ok(SourceChanges((listed("s0-a", 3),), 5)))
+        self.follower.adopt(SourceChanges((listed("s0-b", 4),), 4))
+        self.assertEqual(self.list_ids(), {"s0-a"})
+        self.follower.adopt(SourceChanges((listed("s0-b", 8),), 8))
+        self.assertEqual(self.list_ids(), {"s0-b"})
+
+    async def test_host_without_source_fetches_a_newer_copy_at_once(self):
+        """Guards against a drain that a host does not learn while it is refused."""
+        await self.follow(
+            Ok(SourceChanges((listed("s0-a", 3),), 5)),
+            Err(SourceUnavailableError("busy")),
+        )
+        self.assertTrue(self.follower.is_behind(6))
+        self.assertFalse(self.follower.is_behind(5))
+
+    async def test_host_that_may_be_out_of_date_gives_no_copy(self):
+        """Guards against passing on lapsed entries as removed."""
+        await self.follow(
+            Ok(SourceChanges((listed("s0-a", 3),), 5)),
+            Err(SourceUnavailableError("busy")),
+        )
+        self.assertIsNone(self.follower.copy())
+
+
+class TestConfigurationOrder(unittest.TestCase):
+    """Guards against a configuration that reverts."""
+
+    def test_older_configuration_is_not_taken(self):
+        """Guards against the return of an older version."""
+        clock = SystemClock()
+        state = HostState(
+            make_settings(), random.Random(1), UpstreamPool(clock), ListLog()
+        )
+        for version in (7, 5):
+            rules = (make_single_rule(name=f"rule-{version}"),)
+            published = ConfigurationPublished(ForwardingConfiguration(version, rules))
+            state.apply(published, clock.monotonic())
+        self.assertEqual(state.configuration.version, 7)
+        self.assertEqual(state.rules.find("a.example", "/order/").name, "rule-7")
+
+
+class TestLogLines(unittest.TestCase):
+    """Guards the log against blocking and against growing without bound."""
+
+    def setUp(self):
+        self.reader, self.writer = os.pipe()
+        self.log = LogLines(SystemClock(), self.writer)
+        self.log.open()
+
+    def tearDown(self):
+        os.close(self.reader)
+        os.close(self.writer)
+
+    def test_full_pipe_blocks_nothing(self):
+        """Guards against a request that waits for whoever reads the log."""
+        text = "x" * 4_000
+        for _ in range(MAX_WAITING_LINES):
+            self.log.write("event", text=text)
+            self.log.flush()
+        self.assertGreater(len(os.read(self.reader, 1_000_000)), 0)
+
+    def test_lines_that_do_not_fit_are_counted(self):
+        """Guards against memory that grows while nobody reads the log."""
+
+        async def fill():
+            for _ in range(MAX_WAITING_LINES + 10):
+                self.log.write("event")
+
+        asyncio.run(fill())
+        self.assertEqual(self.log.dropped_count, 10)
+
+    def test_request_lines_are_bounded_and_failures_come_first(self):
+        """Guards against a surge that fills the log, and that hides failures in it."""
+        for _ in range(1_000):
+            self.log.write_request("request", False)
+        answered = 1_000 - self.log.suppressed_count
+        self.assertLess(answered, 150)
+        before = self.log.suppressed_count
+        self.log.write_request("request", True)
+        self.assertEqual(self.log.suppressed_count, before)
+
+    def test_left_out_lines_are_reported(self):
+        """Guards against a gap in the log that nobody notices."""
+        for _ in range(1_000):
+            self.log.write_request("request", False)
+        self.log.write("event")
+        self.log.flush()
+        line = json.loads(os.read(self.reader, 1_000_000).splitlines()[-1])
+        self.assertGreater(line["lines_left_out"], 0)
--- /dev/null
+++ b/tests/daemon/test_platform.py
@@ -0,0 +1,304 @@
+"""Tests of the adapter to the users' platform."""
+
+import base64
+import json
+import unittest
+from datetime import timedelta
+
+from aiohttp import web
+
+from celeryferry_core.forwarding.models import Sharded, Weighted
+from celeryferry_core.forwarding.outcomes import (
+    Failed,
+    LossReason,
+    Lost,
+    Merged,
+    NotRunResult,
+    RefusalReason,
+    Refused,
+    Relayed,
+    Succeeded,
+    UnknownResult,
+    UpstreamResponse,
+)
+from celeryferry_daemon._internal.forwarding.connection import RawResponse
+from celeryferry_daemon._internal.forwarding.messages import CallerRequest
+from celeryferry_daemon._internal.forwarding.ports import HistoryGoneError
+from celeryferry_daemon.platform import wire
+from celeryferry_daemon.platform.boot import read_settings
+from celeryferry_daemon.platform.entries import decode_configuration, decode_upstream
+from celeryferry_daemon.platform.store import StoreClient
+from tests.core.forwarding_rig import make_upstream
+
+BOOT = {
+    "node_name": "edge-1",
+    "zone": "a",
+    "bind_addrs": {
+        "http": "127.0.0.1:1",
+        "readiness": "127.0.0.1:2",
+        "admin": "127.0.0.1:3",
+        "directory": "127.0.0.1:4",
+    },
+    "seed_nodes": ["127.0.0.1:3"],
+    "platform": {"address": "127.0.0.1:9"},
+    "parameters": {"retry_ratio": 0.1, "grace_s": 7, "unknown": 1},
+    "unknown": True,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "a.example",
+            "path_prefix": "/x/",
+            "type": "idempotent",
+            "timeout_ms": 400,
+            "target_latency_ms": 71,
+            "priority": 2,
+            "gather": ["s0", "s1"],
+            "attempts": 2,
+            "top_k": 5,
+            "min_shard_ratio": 0.75,
+        },
+        {
+            "name": "r-2",
+            "host": "a.example",
+            "path_prefix": "/y/",
+            "type": "non_idempotent",
+            "timeout_ms": 4001,
+            "backend": "orders",
+        },
+        {
+            "name": "r-3",
+            "host": "a.example",
+            "path_prefix": "/z/",
+            "type": "idempotent",
+            "traffic_split": [
+                {"backend": "orders", "weight": 1},
+                {"backend": "others", "weight": 3},
+            ],
+        },
+    ],
+    "backends": [{"name": "orders", "max_conns": 77, "warmup_per_s": 2.0}],
+    "limits": {"max_body_bytes": 1000, "idle_timeout_ms": 15000},
+}
+SERVER = {
+    "backend": "orders",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "capacity": 4,
+    "lifecycle": "ready",
+    "warmup_left_ms": 1500,
+    "seq": 4,
+}
+
+
+def encode(value) -> bytes:
+    """Return JSON."""
+    return json.dumps(value).encode()
+
+
+def respond(status: int = 200, body: bytes = b"x", **headers: str) -> RawResponse:
+    """Return a response; underscores in names of headers stand for hyphens."""
+    listed = tuple((k.replace("_", "-"), v) for k, v in headers.items())
+    return RawResponse(status, listed, body, True)
+
+
+class TestSettings(unittest.TestCase):
+    """Guards the translation of the platform's settings file."""
+
+    def test_settings_are_translated(self):
+        """Guards against a figure of the platform that is not taken over."""
+        settings = read_settings(encode(BOOT)).unwrap()
+        self.assertEqual(settings.host_id, "edge-1")
+        self.assertEqual(settings.extra_ratio, 0.1)
+        self.assertEqual(settings.stop_time, timedelta(seconds=7))
+
+    def test_missing_field_is_named(self):
+        """Guards against a start with half of the settings."""
+        broken = {k: v for k, v in BOOT.items() if k != "zone"}
+        self.assertIn("zone", str(read_settings(encode(broken)).unwrap_err()))
+
+
+class TestEntries(unittest.TestCase):
+    """Guards the decoding of what the store holds."""
+
+    def test_routes_are_translated(self):
+        """Guards against a target that goes to the wrong services."""
+        found = decode_configuration(encode(CONFIGURATION)).unwrap()
+        sharded, single, split = found.rules
+        self.assertEqual(sharded.target, Sharded(("s0", "s1"), 5, 0.75))
+        self.assertTrue(sharded.is_repeatable)
+        self.assertFalse(single.is_repeatable)
+        self.assertEqual(single.max_attempts, 1)
+        self.assertIsInstance(split.target, Weighted)
+        self.assertEqual([part.weight for part in split.target.parts], [1, 3])
+        self.assertEqual(found.services["orders"].cold_requests_per_s, 2.0)
+
+    def test_unknown_kind_of_request_is_not_repeated(self):
+        """Guards against repeating what the adapter does not understand."""
+        routes = [dict(CONFIGURATION["routes"][1], type="newer")]
+        found = decode_configuration(encode(dict(CONFIGURATION, routes=routes)))
+        self.assertFalse(found.unwrap().rules[0].is_repeatable)
+
+    def test_route_without_service_is_rejected(self):
+        """Guards against a configuration that half applies."""
+        routes = [{"name": "r", "host": "h", "path_prefix": "/"}]
+        found = decode_configuration(encode(dict(CONFIGURATION, routes=routes)))
+        self.assertIn("r", str(found.unwrap_err()))
+
+    def test_upstream_is_translated(self):
+        """Guards against a drain or a cold start that is not seen."""
+        entry = dict(SERVER, lifecycle="draining", born=17)
+        upstream = decode_upstream("i-1", encode(entry)).unwrap()
+        self.assertTrue(upstream.is_draining)
+        self.assertEqual(upstream.cold_for, timedelta(seconds=1.5))
+        self.assertEqual(upstream.started_ms, 17)
+
+    def test_entries_of_other_writers_name_no_upstream(self):
+        """Guards against using an entry that was not written by an upstream."""
+        wrong = [
+            b"\xff",
+            encode([]),
+            encode({k: v for k, v in SERVER.items() if k != "zone"}),
+            encode(dict(SERVER, capacity="4")),
+            encode(dict(SERVER, lifecycle="sleeping")),
+            encode(dict(SERVER, address="nowhere")),
+        ]
+        for value in wrong:
+            self.assertTrue(decode_upstream("i-1", value).is_err(), value)
+
+
+class TestUpstreamMessages(unittest.TestCase):
+    """Guards what upstreams get and what their responses mean."""
+
+    def setUp(self):
+        headers = (
+            ("Host", "a.example"),
+            ("X-Request-Id", "id-1"),
+            ("X-Deadline-Ms", "800"),
+            ("Connection", "keep-alive, X-Hop"),
+            ("X-Hop", "1"),
+            ("X-Other", "kept"),
+        )
+        self.request = CallerRequest("id-1", "GET", "/x/?q=%41", headers, b"")
+
+    def test_request_is_passed_on_unchanged_but_for_its_own_headers(self):
+        """Guards against changed targets, lost headers and stale deadlines."""
+        upstream = make_upstream("s0", "a")
+        time_left = timedelta(milliseconds=450.9)
+        payload = wire.make_payload(self.request, upstream, time_left).decode()
+        head = payload.split("\r\n")
+        self.assertEqual(head[0], "GET /x/?q=%41 HTTP/1.1")
+        self.assertIn("X-Request-Id: id-1", head)
+        self.assertIn("X-Other: kept", head)
+        self.assertIn("X-Deadline-Ms: 450", head)
+        self.assertIn("X-Expect-Instance: s0-a", head)
+        self.assertNotIn("X-Hop", payload)
+        self.assertEqual(payload.count("X-Deadline-Ms"), 1)
+
+    def test_nothing_is_sent_without_time(self):
+        """Guards against work that can't be answered in time."""
+        upstream = make_upstream("s0", "a")
+        self.assertIsNone(wire.make_payload(self.request, upstream, timedelta(0)))
+
+    def test_response_to_another_request_is_told_apart(self):
+        """Guards against an answer that arrives late and is given to another caller."""
+        self.assertFalse(wire.belongs_to(self.request, respond(x_request_id="id-0")))
+        self.assertTrue(wire.belongs_to(self.request, respond(x_request_id="id-1")))
+
+    def test_refusals_are_told_from_failures(self):
+        """Guards against "not run" for what ran, and repeats of it."""
+        judge = wire.judge_response
+        refused = judge(respond(503, x_not_executed="1"))
+        self.assertEqual(refused, Refused(RefusalReason.UPSTREAM_REFUSED))
+        self.assertIsInstance(judge(respond(421)), Refused)
+        self.assertIsInstance(judge(respond(503, x_server_stamp="s")), Failed)
+        self.assertIsInstance(judge(respond(200, x_server_stamp="s")), Succeeded)
+
+    def test_success_without_signature_is_no_answer(self):
+        """Guards against bytes that no upstream signed."""
+        lost = Lost(LossReason.BAD_RESPONSE)
+        self.assertEqual(wire.judge_response(respond(200)), lost)
+        encoded = respond(200, x_server_stamp="s", content_encoding="gzip")
+        self.assertEqual(wire.judge_response(encoded), lost)
+
+    def test_load_is_read(self):
+        """Guards against a load header that breaks the answer."""
+        self.assertEqual(wire.read_load(respond(x_server_load="3,2,8")), 5)
+        self.assertIsNone(wire.read_load(respond(x_server_load="busy")))
+
+
+class TestCallerMessages(unittest.TestCase):
+    """Guards what callers get for each result."""
+
+    def test_statuses_that_promise_not_run_are_kept_for_what_did_not_run(self):
+        """Guards against a promise that is not true."""
+        refusal = NotRunResult(RefusalReason.OVERLOADED, timedelta(milliseconds=250))
+        answer = wire.make_response(refusal)
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(dict(answer.headers)["Retry-After"], "0.250")
+        for reason in LossReason:
+            status = wire.make_response(UnknownResult(reason)).status
+            self.assertIn(status, (502, 504))
+        ran = Relayed(UpstreamResponse(503, (("x-server-stamp", "s"),), b"", "s"))
+        self.assertEqual(wire.make_response(ran).status, 502)
+        self.assertEqual(wire.make_response(ran).headers, ())
+
+    def test_merged_answer_names_its_parts(self):
+        """Guards against an answer that hides what it leaves out."""
+        answer = wire.make_response(Merged(("s-1", "s-2"), 1, b"records"))
+        headers = dict(answer.headers)
+        self.assertEqual(headers["X-Part-Stamps"], "s-1, s-2")
+        self.assertEqual(headers["X-Missing-Parts"], "1")
+
+
+class TestStoreClient(unittest.IsolatedAsyncioTestCase):
+    """Guards reads and watches of the store, against a small stand-in."""
+
+    async def asyncSetUp(self):
+        self.answers: list[web.Response] = []
+        self.asked: list[dict[str, str]] = []
+        app = web.Application()
+        app.router.add_get("/{call}", self._answer)
+        self.runner = web.AppRunner(app)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, "127.0.0.1", 0).start()
+        ip, port = self.runner.addresses[0][:2]
+        self.client = StoreClient(f"{ip}:{port}")
+
+    async def asyncTearDown(self):
+        await self.client.close()
+        await self.runner.cleanup()
+
+    async def _answer(self, request: web.Request) -> web.Response:
+        self.asked.append(dict(request.query))
+        return self.answers.pop(0)
+
+    async def test_all_pages_are_read(self):
+        """Guards against upstreams of later pages that stay unknown."""
+        for key, is_truncated in (("servers/a", True), ("servers/b", False)):
+            value = base64.b64encode(b"v").decode()
+            item = {"key": key, "value": value, "revision": 5}
+            page = {"items": [item], "truncated": is_truncated, "as_of": 9}
+            self.answers.append(web.json_response(page))
+        found = (await self.client.read_all("servers/")).unwrap()
+        self.assertEqual([item.key for item in found.items], ["servers/a", "servers/b"])
+        self.assertEqual(self.asked[1]["after"], "servers/a")
+        self.assertEqual(found.revision, 9)
+
+    async def test_removals_are_told_from_writes(self):
+        """Guards against a removed entry that stays in use."""
+        event = {"key": "servers/a", "revision": 6, "deleted": True}
+        self.answers.append(web.json_response({"events": [event], "as_of": 6}))
+        found = (await self.client.watch("servers/", 5)).unwrap()
+        self.assertIsNone(found.items[0].value)
+
+    async def test_lost_history_is_told_from_an_outage(self):
+        """Guards against changes that are missed after the history was dropped."""
+        self.answers += [web.Response(status=410), web.Response(status=503)]
+        gone = (await self.client.watch("servers/", 5)).unwrap_err()
+        self.assertIsInstance(gone, HistoryGoneError)
+        lost = (await self.client.watch("servers/", 5)).unwrap_err()
+        self.assertNotIsInstance(lost, HistoryGoneError)
