Hedge the last shards of a request by the times of its siblings

The hedge delay came from earlier requests, but all shards of one request do the same work and differ by request (10 to 90 ms), so short requests were hedged late and long ones in vain. Bytes between domains and calls to the store were the largest prices.

Ruled out: a lower quantile for all requests; it hedges every long request.

Change: once half of the shards have answered, a shard is hedged after twice the median of its siblings. Heartbeats are JSON arrays and mostly stay in the failure domain; changes in quick succession are read from the store with one call.

--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/attempts.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/attempts.py
@@ -14,6 +14,7 @@
     :ivar open_count: attempts without an outcome.
     :ivar run_count: attempts that may have run or may still run.
     :ivar refusal_count: attempts that were refused.
+    :ivar first_sent_at: monotonic time of the attempt that may be hedged.
     :ivar hedge_at: time of the hedge, None if there is none to come.
     :ivar retry_at: time at which to look for an upstream again, None if not waiting.
     :ivar success: attempt that was answered with success.
@@ -23,6 +24,7 @@
     """
 
     __slots__ = (
+        "first_sent_at",
         "has_failed",
         "hedge_at",
         "last_outcome",
@@ -42,6 +44,7 @@
         self.open_count = 0
         self.run_count = 0
         self.refusal_count = 0
+        self.first_sent_at = timedelta(0)
         self.hedge_at: timedelta | None = None
         self.retry_at: timedelta | None = None
         self.success: Attempt | None = None
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/hosts.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/hosts.py
@@ -14,6 +14,8 @@
 FORGET_TIMEOUT = timedelta(seconds=30)
 # Bounds the message of one exchange at any fleet size.
 MAX_PASSED_ON = 48
+# Four hosts of a domain then reach another domain about every 750 ms.
+REMOTE_ONE_IN = 3
 # Silence of every other host at once is our own pause or cut, not their end.
 OWN_PAUSE = timedelta(seconds=1)
 # Callers take no more addresses from one answer.
@@ -168,11 +170,18 @@
     def pick_peers(self, count: int, now: timedelta) -> list[HostBeat]:
         """Choose hosts for the next exchange.
 
+        Most exchanges stay in the own failure domain, since bytes between domains are
+        dear; one in ``REMOTE_ONE_IN`` goes anywhere.
+
         :param count: number of hosts.
         :param now: present monotonic time.
         :returns: up to that many other live hosts.
         """
         others = self.list_live(now)[1:]
+        if self.random.randrange(REMOTE_ONE_IN):
+            domain = self.own.failure_domain
+            local = [beat for beat in others if beat.failure_domain == domain]
+            others = local if len(local) >= count else others
         picked = []
         while others and len(picked) < count:
             picked.append(others.pop(self.random.randrange(len(others))))
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/session.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/session.py
@@ -34,7 +34,7 @@
     is_final_failure,
 )
 from celeryferry_core.forwarding.selection import UpstreamSelector
-from celeryferry_core.forwarding.timing import TimesByRule
+from celeryferry_core.forwarding.timing import LATEST_HEDGE_PART, TimesByRule
 from celeryferry_core.mechanisms import Mechanisms
 from celeryferry_core.ports import RandomSource
 
@@ -43,6 +43,11 @@
 # Part of the target after which an answer with enough shards is not held back for the
 # rest; what is left covers the way to the caller.
 ENOUGH_AFTER_PART = 0.85
+# Replicas of one service differ in speed by up to 1.6; a shard that takes longer than
+# twice the median of its siblings straggles.
+SIBLING_FACTOR = 2.0
+SIBLING_SLACK = timedelta(milliseconds=3)
+MIN_SIBLINGS = 4
 # A shard without an upstream to send to is looked at again at this interval, for this
 # part of the target.
 WAIT_INTERVAL = timedelta(milliseconds=20)
@@ -180,6 +185,7 @@
         match event.outcome:
             case Succeeded():
                 shard.success = attempt
+                self._hedge_by_siblings()
             case Refused(reason):
                 shard.last_outcome = event.outcome
                 shard.run_count -= 1
@@ -239,6 +245,23 @@
                 shard.hedge_at = None
                 self._hedge(shard, now)
 
+    def _hedge_by_siblings(self) -> None:
+        """Set the hedges of the last shards by the times of the others.
+
+        All shards do the same work for one request, so once half of them have
+        answered, their times tell a straggler better than earlier requests do.
+        """
+        done = [shard.success for shard in self._shards if shard.success is not None]
+        if len(self._shards) < MIN_SIBLINGS or 2 * len(done) < len(self._shards):
+            return
+        times = sorted(attempt.ended_at - attempt.sent_at for attempt in done)
+        usual = times[len(times) // 2]
+        latest = self._started + self.rule.target_latency * LATEST_HEDGE_PART
+        for shard in self._shards:
+            if shard.hedge_at is not None and not shard.is_closed:
+                by_siblings = shard.first_sent_at + usual * SIBLING_FACTOR
+                shard.hedge_at = min(latest, by_siblings + SIBLING_SLACK)
+
     def _hedge(self, shard: ShardState, now: timedelta) -> None:
         if shard.open_count != 1 or shard.run_count >= self.rule.max_attempts:
             return
@@ -256,6 +279,7 @@
             return
         self._add_attempt(shard, selection.upstream, selection.reason)
         if self.rule.is_repeatable and self._knowledge.mechanisms.hedging:
+            shard.first_sent_at = now
             shard.hedge_at = now + self._times.hedge_delay
 
     def _wait(self, shard: ShardState, now: timedelta) -> None:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
@@ -15,6 +15,9 @@
 )
 from celeryferry_daemon._internal.forwarding.state import HostState
 
+# Changes that come in quick succession are read with one call; every call is paid for.
+# Bounds on drains and configurations are seconds.
+COALESCE_TIME = timedelta(milliseconds=200)
 # All hosts lose the source together; the random part spreads their next calls.
 MIN_RETRY_DELAY = timedelta(milliseconds=100)
 MAX_RETRY_DELAY = timedelta(milliseconds=800)
@@ -87,6 +90,8 @@
                 case Ok(changes):
                     self._note_back()
                     self._take(changes, asked_revision)
+                    if changes.items:
+                        await asyncio.sleep(COALESCE_TIME.total_seconds())
                 case Err(HistoryGoneError()):
                     self._log.write("source_history_gone", source=self.source.name)
                     self._has_listing = False
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
@@ -1,6 +1,7 @@
 """Exchange of heartbeats and of copies of the sources between hosts."""
 
 import asyncio
+from dataclasses import astuple
 from datetime import timedelta
 
 import aiohttp
@@ -28,6 +29,22 @@
 MAX_MESSAGE_BYTES = 4 * 1_048_576
 
 
+class BeatRow(msgspec.Struct, array_like=True):
+    """A heartbeat as a JSON array, which takes half of the bytes of an object.
+
+    The fields are those of ``HostBeat``, in order.
+    """
+
+    host_id: str
+    failure_domain: str
+    callers_address: str
+    peers_address: str
+    started_ms: int
+    beat: int
+    is_ready: bool
+    is_leaving: bool
+
+
 class BeatsMessage(msgspec.Struct):
     """Heartbeats and how far the sender has followed each source.
 
@@ -35,7 +52,7 @@
     :param latest_changes: latest change that the sender has seen, by source.
     """
 
-    beats: list[HostBeat]
+    beats: list[BeatRow]
     latest_changes: dict[str, int]
 
 
@@ -161,7 +178,8 @@
     def _make_message(self) -> bytes:
         beats = self.table.list_to_pass_on(self._clock.monotonic())
         changes = {name: f.latest_change for name, f in self._followers.items()}
-        return _ENCODER.encode(BeatsMessage(beats, changes))
+        rows = [BeatRow(*astuple(beat)) for beat in beats]
+        return _ENCODER.encode(BeatsMessage(rows, changes))
 
     async def _exchange(self, address: str) -> None:
         body = await self._call("POST", address, BEATS_PATH, self._make_message())
@@ -174,10 +192,11 @@
         except msgspec.MsgspecError as error:
             self._log.write("peer_message_rejected", peer=address, reason=str(error))
             return
-        self.table.merge(message.beats, self._clock.monotonic())
-        if not message.beats:
+        beats = [HostBeat(*msgspec.structs.astuple(row)) for row in message.beats]
+        self.table.merge(beats, self._clock.monotonic())
+        if not beats:
             return
-        sender = message.beats[0].peers_address
+        sender = beats[0].peers_address
         for name, latest_change in message.latest_changes.items():
             follower = self._followers.get(name)
             if follower is not None and follower.is_behind(latest_change):
--- a/tests/core/test_forwarding.py
+++ b/tests/core/test_forwarding.py
@@ -198,6 +198,29 @@
         rig.run(make_single_rule())
         self.assertEqual(rig.elapsed, ms(400))
 
+    def test_straggler_is_told_by_its_siblings(self):
+        """Guards against a hedge that waits for what earlier, longer requests took."""
+
+        def script(action, count):
+            is_slow = action.upstream.service == "s0" and count == 1
+            return (150.0 if is_slow else 10.0), succeed(action)
+
+        rig = ForwardingRig(script)
+        times = rig.knowledge.times.of(make_sharded_rule())
+        for _ in range(100):
+            times.record(ms(90))
+        rig.run(make_sharded_rule())
+        self.assertLess(rig.elapsed, ms(40))
+
+    def test_no_hedge_while_all_shards_take_long(self):
+        """Guards against hedges for a request that is long on every shard."""
+        rig = ForwardingRig(lambda a, _: (60.0 + a.attempt_id, succeed(a)))
+        times = rig.knowledge.times.of(make_sharded_rule())
+        for _ in range(100):
+            times.record(ms(70))
+        rig.run(make_sharded_rule())
+        self.assertEqual(len(rig.sent), 4)
+
     def test_attempts_are_bounded(self):
         """Guards against more upstreams than the rule allows."""
         rig = ForwardingRig(lambda a, _: (5.0, fail(a)))
