--- /dev/null
+++ b/packages/celeryferry-standins/src/celeryferry_standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the users' platform: its store, its upstreams and its settings."""
--- /dev/null
+++ b/packages/celeryferry-standins/src/celeryferry_standins/platform/fleet.py
@@ -0,0 +1,129 @@
+"""A small system on the platform: store, upstreams, and daemons as processes."""
+
+import socket
+from collections.abc import Iterable
+from datetime import timedelta
+from pathlib import Path
+
+import msgspec
+
+from celeryferry_standins.platform.replica import PlatformReplica
+from celeryferry_standins.platform.store import PlatformStore
+from celeryferry_standins.processes import ManagedProcess
+
+ZONES = ("za", "zb", "zc")
+STOP_TIME = timedelta(seconds=2)
+_LISTENERS = ("http", "readiness", "admin", "directory")
+
+
+class PlatformHost:
+    """One daemon of the system.
+
+    :param name: name of the host.
+    :param zone: failure domain that it is in.
+    :ivar addresses: ``ip:port`` by listener.
+    :ivar process: the running process.
+    """
+
+    def __init__(self, name: str, zone: str) -> None:
+        self.name = name
+        self.zone = zone
+        self._reserved = [_reserve_port() for _ in _LISTENERS]
+        self.addresses = {
+            listener: f"127.0.0.1:{reserved.getsockname()[1]}"
+            for listener, reserved in zip(_LISTENERS, self._reserved, strict=True)
+        }
+        self.process: ManagedProcess | None = None
+
+    def start(self, folder: Path, settings: dict[str, object]) -> None:
+        """Start the process.
+
+        :param folder: receives its settings file and its log.
+        :param settings: settings that all hosts share.
+        """
+        own = {"node_name": self.name, "zone": self.zone, "bind_addrs": self.addresses}
+        path = folder / f"{self.name}.json"
+        path.write_bytes(msgspec.json.encode(settings | own))
+        self.process = ManagedProcess(
+            self.name,
+            "celeryferry_daemon.platform",
+            [],
+            folder / f"{self.name}.log",
+            {"CELERYFERRY_BOOT": str(path)},
+        )
+
+    def close(self) -> None:
+        """End the process and free its ports."""
+        if self.process is not None:
+            self.process.kill()
+        for reserved in self._reserved:
+            reserved.close()
+
+
+class PlatformFleet:
+    """Store, upstreams and daemons that know them.
+
+    :param folder: receives settings files and logs.
+    :param services: services with one upstream in each zone.
+    """
+
+    def __init__(self, folder: Path, services: Iterable[str]) -> None:
+        self.folder = folder
+        self.store = PlatformStore()
+        self.replicas = [
+            PlatformReplica(f"i-{service}-{zone}", service, zone)
+            for service in services
+            for zone in ZONES
+        ]
+        self.hosts = [PlatformHost(f"host-{zone}", zone) for zone in ZONES]
+
+    async def start(self, configuration: dict[str, object]) -> None:
+        """Start everything.
+
+        :param configuration: first configuration of the operators.
+        """
+        await self.store.start()
+        await self.store.put("op/config", configuration)
+        for replica in self.replicas:
+            await replica.start()
+            await self.register(replica)
+        settings = {
+            "seed_nodes": [host.addresses["admin"] for host in self.hosts],
+            "platform": {"address": self.store.address},
+            "parameters": {"grace_s": STOP_TIME.total_seconds(), "ttl_max_s": 5},
+        }
+        for host in self.hosts:
+            host.start(self.folder, settings)
+
+    async def stop(self) -> None:
+        """End everything."""
+        for host in self.hosts:
+            host.close()
+        for replica in self.replicas:
+            await replica.stop()
+        await self.store.stop()
+
+    async def register(self, replica: PlatformReplica, lifecycle="ready") -> None:
+        """Write the entry of an upstream.
+
+        :param replica: the upstream.
+        :param lifecycle: ``ready`` or ``draining``.
+        """
+        key = f"servers/{replica.instance_id}"
+        await self.store.put(key, replica.make_entry(lifecycle))
+
+    def read_logs(self) -> str:
+        """Return the last lines of every daemon's log."""
+        return "\n".join(
+            f"{host.name}: {host.process.read_log_tail()}"
+            for host in self.hosts
+            if host.process is not None
+        )
+
+
+def _reserve_port() -> socket.socket:
+    """Keep a port from other processes; the daemon can still listen on it."""
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind(("127.0.0.1", 0))
+    return reserved
--- /dev/null
+++ b/packages/celeryferry-standins/src/celeryferry_standins/platform/replica.py
@@ -0,0 +1,85 @@
+"""Stand-in for an upstream of the platform."""
+
+import asyncio
+from collections import Counter
+from datetime import timedelta
+
+from aiohttp import web
+
+RECORD_BYTES = 16
+
+
+class PlatformReplica:
+    """Answers requests and counts what it was given.
+
+    :param instance_id: id of this incarnation.
+    :param service: service that it belongs to.
+    :param zone: failure domain that it is in.
+    :param work_time: time that a request takes.
+    :ivar runs: executions by request id.
+    :ivar refused_count: requests that were meant for another instance.
+    :ivar address: ``ip:port`` once started.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        service: str,
+        zone: str,
+        work_time: timedelta = timedelta(milliseconds=2),
+    ) -> None:
+        self.instance_id = instance_id
+        self.service = service
+        self.zone = zone
+        self.work_time = work_time
+        self.runs: Counter[str] = Counter()
+        self.refused_count = 0
+        self.address = ""
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self) -> None:
+        """Listen on a loopback address."""
+        server = web.Server(self._handle, handler_cancellation=True)
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        ip, port = self._runner.addresses[0][:2]
+        self.address = f"{ip}:{port}"
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    def make_entry(self, lifecycle: str = "ready") -> dict[str, object]:
+        """Return what it registers in the store.
+
+        :param lifecycle: ``ready`` or ``draining``.
+        """
+        return {
+            "backend": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "capacity": 4,
+            "lifecycle": lifecycle,
+            "warmup_left_ms": 0,
+            "seq": 1,
+        }
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        request_id = request.headers.get("X-Request-Id", "")
+        if request.headers.get("X-Expect-Instance") != self.instance_id:
+            self.refused_count += 1
+            return web.Response(status=421)
+        await request.read()
+        self.runs[request_id] += 1
+        await asyncio.sleep(self.work_time.total_seconds())
+        record = self.instance_id.encode().rjust(RECORD_BYTES)[:RECORD_BYTES]
+        headers = {
+            "X-Request-Id": request_id,
+            "X-Server-Stamp": f"{self.instance_id}.{request_id}",
+            "X-Server-Load": "1,0,4",
+        }
+        return web.Response(body=record, headers=headers)
--- /dev/null
+++ b/packages/celeryferry-standins/src/celeryferry_standins/platform/store.py
@@ -0,0 +1,114 @@
+"""Stand-in for the platform's store: items with revisions, ranges and watches."""
+
+import asyncio
+import base64
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+OK = 200
+NOT_FOUND = 404
+HISTORY_GONE = 410
+UNAVAILABLE = 503
+
+
+class PlatformStore:
+    """Items in memory; tests write to it directly.
+
+    :ivar revision: revision of the latest change.
+    :ivar is_down: whether every call is answered 503.
+    :ivar address: ``ip:port`` once started.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 100
+        self.is_down = False
+        self.address = ""
+        self._items: dict[str, dict[str, Any]] = {}
+        self._events: list[dict[str, Any]] = []
+        self._oldest = self.revision
+        self._changed = asyncio.Condition()
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Listen on a loopback address."""
+        app = web.Application()
+        app.router.add_get("/kv-range", self._answer_range)
+        app.router.add_get("/kv-watch", self._answer_watch)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        ip, port = self._runner.addresses[0][:2]
+        self.address = f"{ip}:{port}"
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def put(self, key: str, value: Any) -> None:
+        """Write an item.
+
+        :param key: its key.
+        :param value: encoded as JSON.
+        """
+        text = base64.b64encode(msgspec.json.encode(value)).decode()
+        self.revision += 1
+        item = {"key": key, "value": text, "revision": self.revision}
+        self._items[key] = item
+        await self._publish(item)
+
+    async def delete(self, key: str) -> None:
+        """Remove an item.
+
+        :param key: its key.
+        """
+        self.revision += 1
+        self._items.pop(key, None)
+        await self._publish({"key": key, "revision": self.revision, "deleted": True})
+
+    def drop_history(self) -> None:
+        """Forget all changes, so that watches must start anew."""
+        self._events.clear()
+        self._oldest = self.revision
+
+    async def _publish(self, event: dict[str, Any]) -> None:
+        self._events.append(event)
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def _answer_range(self, request: web.Request) -> web.Response:
+        if self.is_down:
+            return web.Response(status=UNAVAILABLE)
+        prefix = request.query.get("path_prefix", "")
+        items = [
+            item for key, item in sorted(self._items.items()) if key.startswith(prefix)
+        ]
+        return web.json_response(
+            {"items": items, "truncated": False, "as_of": self.revision}
+        )
+
+    async def _answer_watch(self, request: web.Request) -> web.Response:
+        after = int(request.query["after"])
+        prefix = request.query.get("path_prefix", "")
+        try:
+            async with asyncio.timeout(int(request.query["wait_ms"]) / 1000):
+                while not self.is_down and not self._list_events(prefix, after):
+                    async with self._changed:
+                        await self._changed.wait()
+        except TimeoutError:
+            pass
+        if self.is_down:
+            return web.Response(status=UNAVAILABLE)
+        if after < self._oldest:
+            return web.Response(status=HISTORY_GONE)
+        events = self._list_events(prefix, after)
+        return web.json_response({"events": events, "as_of": self.revision})
+
+    def _list_events(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        return [
+            event
+            for event in self._events
+            if event["revision"] > after and event["key"].startswith(prefix)
+        ]
--- a/packages/celeryferry-standins/src/celeryferry_standins/processes.py
+++ b/packages/celeryferry-standins/src/celeryferry_standins/processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import ctypes
+import os
 import signal
 import subprocess
 import sys
@@ -68,9 +69,17 @@
     :param module: Python module to run.
     :param arguments: arguments of the module.
     :param log_file: file that receives its output.
+    :param environment: variables added to those of this process.
     """
 
-    def __init__(self, name: str, module: str, arguments: list[str], log_file: Path):
+    def __init__(
+        self,
+        name: str,
+        module: str,
+        arguments: list[str],
+        log_file: Path,
+        environment: dict[str, str] | None = None,
+    ):
         self.name = name
         self.log_file = log_file
         with log_file.open("ab") as log:
@@ -80,6 +89,7 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 start_new_session=True,
+                env=os.environ | (environment or {}),
                 preexec_fn=_die_with_parent,
             )
 
--- /dev/null
+++ b/tests/system/test_platform_daemon.py
@@ -0,0 +1,215 @@
+"""The daemon on the platform as real processes, against stand-ins of the platform."""
+
+import asyncio
+import tempfile
+import unittest
+from datetime import timedelta
+from pathlib import Path
+
+import aiohttp
+
+from celeryferry_standins.platform.fleet import PlatformFleet
+from celeryferry_standins.processes import wait_until
+
+SHARDS = ("s0", "s1", "s2", "s3")
+# Only bounds a test that hangs.
+GIVE_UP_TIME = timedelta(seconds=40)
+LOOKUP = {
+    "name": "lookup",
+    "host": "a.example",
+    "path_prefix": "/lookup/",
+    "type": "idempotent",
+    "timeout_ms": 5_000,
+    "target_latency_ms": 4_000,
+    "gather": list(SHARDS),
+    "attempts": 2,
+    "top_k": 3,
+    "min_shard_ratio": 1.0,
+}
+ORDER = {
+    "name": "order",
+    "host": "a.example",
+    "path_prefix": "/order/",
+    "type": "non_idempotent",
+    "timeout_ms": 5_000,
+    "target_latency_ms": 4_000,
+    "backend": "orders",
+    "attempts": 2,
+}
+
+
+def make_configuration(version: int, *routes: dict) -> dict:
+    """Return a configuration of the operators."""
+    names = (*SHARDS, "orders")
+    backends = [{"name": name, "max_conns": 80, "warmup_per_s": 0.0} for name in names]
+    return {"version": version, "routes": list(routes), "backends": backends}
+
+
+class TestPlatformDaemon(unittest.IsolatedAsyncioTestCase):
+    """Guards the whole path: signals, sockets, and what callers see."""
+
+    async def asyncSetUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        path = Path(self.folder.name)
+        self.fleet = PlatformFleet(path, (*SHARDS, "orders"))
+        self.session = aiohttp.ClientSession()
+        self.request_count = 0
+        await self.fleet.start(make_configuration(1, LOOKUP, ORDER))
+        await self.wait(self.are_all_named, "all hosts named to callers")
+
+    async def asyncTearDown(self):
+        result = self._outcome.result
+        if result.failures or result.errors:
+            print(self.fleet.read_logs())
+        await self.session.close()
+        await self.fleet.stop()
+        self.folder.cleanup()
+
+    async def wait(self, condition, what: str):
+        """Wait for a condition that the processes report."""
+        await wait_until(condition, GIVE_UP_TIME, what)
+
+    async def list_entry_hosts(self, host) -> set[str]:
+        """Ask a host which hosts to use."""
+        url = f"http://{host.addresses['directory']}/resolve"
+        try:
+            async with self.session.get(url, params={"zone": host.zone}) as response:
+                if response.status != 200:
+                    return set()
+                return set((await response.json())["addrs"])
+        except aiohttp.ClientError:
+            return set()
+
+    async def are_all_named(self) -> bool:
+        """Tell whether every host names all hosts."""
+        named = [await self.list_entry_hosts(host) for host in self.fleet.hosts]
+        return all(len(addresses) == len(self.fleet.hosts) for addresses in named)
+
+    async def ask(self, host, path="/lookup/1", method="GET", body=None):
+        """Send a request to a host; returns status, headers, body and its id."""
+        self.request_count += 1
+        request_id = f"id-{self.request_count}"
+        headers = {
+            "Host": "a.example",
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": "5000",
+        }
+        url = f"http://{host.addresses['http']}{path}"
+        async with self.session.request(
+            method, url, headers=headers, data=body
+        ) as response:
+            content = await response.read()
+            return response.status, response.headers, content, request_id
+
+    def list_runs(self, request_id: str) -> list[str]:
+        """Return the instances that ran a request."""
+        return [r.instance_id for r in self.fleet.replicas if r.runs[request_id]]
+
+    async def test_sharded_request_is_answered_in_full(self):
+        """Guards the whole path of a query over many shards."""
+        for host in self.fleet.hosts:
+            status, headers, body, request_id = await self.ask(host)
+            self.assertEqual(status, 200)
+            stamps = headers["X-Part-Stamps"].split(", ")
+            self.assertEqual(len(stamps), len(SHARDS))
+            self.assertTrue(all(stamp.endswith(request_id) for stamp in stamps))
+            self.assertEqual(len(body), 3 * 16)
+
+    async def test_order_runs_once_and_is_relayed(self):
+        """Guards a request with a body that may run at most once."""
+        host = self.fleet.hosts[0]
+        answer = await self.ask(host, "/order/1", "POST", b"one order")
+        self.assertEqual(answer[0], 200)
+        self.assertEqual(len(self.list_runs(answer[3])), 1)
+        self.assertIn(answer[3], answer[1]["X-Server-Stamp"])
+
+    async def test_changes_are_in_force_everywhere(self):
+        """Guards against a configuration or a drain that a host does not follow."""
+        extra = dict(LOOKUP, name="extra", path_prefix="/extra/")
+        draining = [r for r in self.fleet.replicas if r.zone == "za"]
+        for replica in draining:
+            await self.fleet.register(replica, "draining")
+        await self.fleet.store.put(
+            "op/config", make_configuration(2, LOOKUP, ORDER, extra)
+        )
+
+        async def is_in_force() -> bool:
+            answers = [await self.ask(host, "/extra/1") for host in self.fleet.hosts]
+            return all(answer[0] == 200 for answer in answers)
+
+        await self.wait(is_in_force, "version 2 on all hosts")
+
+        async def is_drained() -> bool:
+            before = sum(sum(r.runs.values()) for r in draining)
+            for host in self.fleet.hosts:
+                await self.ask(host)
+            return before == sum(sum(r.runs.values()) for r in draining)
+
+        await self.wait(is_drained, "no work for draining upstreams")
+
+    async def test_reused_address_gets_no_request_of_the_former_upstream(self):
+        """Guards against a request that another service runs at a reused address."""
+        replica = self.fleet.replicas[0]
+        replica.instance_id = "i-other"
+        status, *_ = await self.ask(self.fleet.hosts[0])
+        self.assertEqual(status, 200)
+        self.assertGreater(replica.refused_count, 0)
+        self.assertEqual(sum(replica.runs.values()), 0)
+
+    async def test_planned_stop_cuts_no_request(self):
+        """Guards against requests that end with the process, and callers sent to it."""
+        host, other = self.fleet.hosts[:2]
+        for replica in self.fleet.replicas:
+            replica.work_time = timedelta(milliseconds=700)
+        running = [asyncio.create_task(self.ask(host)) for _ in range(5)]
+
+        async def are_running() -> bool:
+            return all(r.runs for r in self.fleet.replicas if r.zone == host.zone[:2])
+
+        await self.wait(lambda: self.has_run(5), "all requests at the upstreams")
+        host.process.terminate()
+        answers = await asyncio.gather(*running)
+        self.assertEqual([answer[0] for answer in answers], [200] * 5)
+
+        async def is_forgotten() -> bool:
+            named = await self.list_entry_hosts(other)
+            return host.addresses["http"] not in named
+
+        await self.wait(is_forgotten, "the stopping host not named any more")
+        self.assertEqual(await host.process.wait(GIVE_UP_TIME), 0)
+
+    async def has_run(self, count: int) -> bool:
+        """Tell whether so many requests reached every shard."""
+        runs = [
+            sum(sum(r.runs.values()) for r in self.fleet.replicas if r.service == name)
+            for name in SHARDS
+        ]
+        return min(runs) >= count
+
+    async def test_killed_host_is_not_named_any_more(self):
+        """Guards against callers sent to a host that is gone."""
+        host, other = self.fleet.hosts[:2]
+        host.process.kill()
+
+        async def is_forgotten() -> bool:
+            named = await self.list_entry_hosts(other)
+            return bool(named) and host.addresses["http"] not in named
+
+        await self.wait(is_forgotten, "the killed host not named any more")
+
+    async def test_host_that_starts_without_the_store_learns_from_its_peers(self):
+        """Guards against a host that can't serve because the store is down."""
+        host = self.fleet.hosts[0]
+        host.process.kill()
+        self.fleet.store.is_down = True
+        settings = {
+            "seed_nodes": [h.addresses["admin"] for h in self.fleet.hosts],
+            "platform": {"address": self.fleet.store.address},
+        }
+        self.fleet.store.is_down = False
+        host.start(self.fleet.folder, settings)
+        await self.wait(self.are_all_named, "the restarted host serves")
+
+
+if __name__ == "__main__":
+    unittest.main()
