Let a starting host learn from peers that have lost the store too

Cause: tests.system.test_platform_daemon killed a host while the store was down; the restarted host stayed unready, because peers gave no copy while they could not read the store themselves. The test failed before.

Ruled out: giving the copy as it is; a host that has lost the store may miss entries that only lapsed, and its peers would have dropped their upstreams.

Change: a copy says whether its sender can read the store; an unconfirmed copy adds and changes entries and removes none at once.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
@@ -11,6 +11,7 @@
     HistoryGoneError,
     Source,
     SourceChanges,
+    SourceCopy,
     SourceItem,
 )
 from celeryferry_daemon._internal.forwarding.state import HostState
@@ -99,18 +100,17 @@
                     self._note_lost(str(error))
                     await asyncio.sleep(self._pick_delay())
 
-    def copy(self) -> SourceChanges | None:
+    def copy(self) -> SourceCopy | None:
         """Return a copy for a peer.
 
-        :returns: all items, or None if this host itself may be out of date.
+        :returns: all items, or None if this host knows none itself.
         """
-        if (
-            self.is_lost
-            or not self._has_listing
-            or self._state.registry.is_in_grace(self._clock.monotonic())
-        ):
+        if not self.is_known:
             return None
-        return SourceChanges(tuple(self._items.values()), self.revision)
+        now = self._clock.monotonic()
+        is_confirmed = not self.is_lost and not self._state.registry.is_in_grace(now)
+        changes = SourceChanges(tuple(self._items.values()), self.revision)
+        return SourceCopy(changes, is_confirmed)
 
     def is_behind(self, peer_latest_change: int) -> bool:
         """Tell whether a copy should be fetched from a peer.
@@ -127,20 +127,21 @@
             self._behind_since = now
         return self.is_lost or now - self._behind_since >= STALE_TIME
 
-    def adopt(self, copy: SourceChanges) -> None:
+    def adopt(self, copy: SourceCopy) -> None:
         """Take over the copy of a peer if it is newer.
 
         :param copy: copy of the source.
         """
-        if copy.revision <= self.revision:
+        if copy.changes.revision <= self.revision:
             return
         self._log.write(
             "source_copied_from_peer",
             source=self.source.name,
-            revision=copy.revision,
+            revision=copy.changes.revision,
             own_revision=self.revision,
+            is_confirmed=copy.is_confirmed,
         )
-        self._replace_items(copy, is_confirmed=True)
+        self._replace_items(copy.changes, copy.is_confirmed)
 
     def _take(self, changes: SourceChanges, asked_revision: int) -> None:
         if not self._has_listing:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
@@ -12,7 +12,11 @@
 from celeryferry_core.ports import Clock
 from celeryferry_daemon._internal.forwarding.follower import SourceFollower
 from celeryferry_daemon._internal.forwarding.log_lines import LogLines
-from celeryferry_daemon._internal.forwarding.ports import SourceChanges, SourceItem
+from celeryferry_daemon._internal.forwarding.ports import (
+    SourceChanges,
+    SourceCopy,
+    SourceItem,
+)
 from celeryferry_daemon._internal.forwarding.state import HostState
 
 # A heartbeat reaches 15 hosts in about four exchanges, well within the silence after
@@ -61,10 +65,12 @@
 
     :param revision: revision that it reflects.
     :param items: all items.
+    :param is_confirmed: whether the sender can read the source now.
     """
 
     revision: int
     items: list[SourceItem]
+    is_confirmed: bool
 
 
 _BEATS = msgspec.json.Decoder(BeatsMessage)
@@ -219,7 +225,8 @@
         except msgspec.MsgspecError as error:
             self._log.write("peer_message_rejected", peer=address, reason=str(error))
             return
-        follower.adopt(SourceChanges(tuple(copy.items), copy.revision))
+        changes = SourceChanges(tuple(copy.items), copy.revision)
+        follower.adopt(SourceCopy(changes, copy.is_confirmed))
 
     async def _call(
         self, method: str, address: str, path: str, body: bytes | None
@@ -245,7 +252,8 @@
         copy = None if follower is None else follower.copy()
         if copy is None:
             return web.Response(status=web.HTTPServiceUnavailable.status_code)
-        message = CopyMessage(copy.revision, list(copy.items))
+        changes = copy.changes
+        message = CopyMessage(changes.revision, list(changes.items), copy.is_confirmed)
         return web.Response(
             body=_ENCODER.encode(message), content_type="application/json"
         )
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/ports.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/ports.py
@@ -51,6 +51,19 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class SourceCopy:
+    """Copy of a source that one host passes to another.
+
+    :param changes: all items.
+    :param is_confirmed: False if the host itself can't read the source now, so that
+        an entry that is missing may only have lapsed.
+    """
+
+    changes: SourceChanges
+    is_confirmed: bool
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamListed:
     """An upstream is listed.
