Read the counters of a test fleet while another scenario kills an upstream

Ruled out: passing over every refused connection; it would hide a stand-in that does not answer.

Change: the refusal is passed over only if the process has ended.

--- a/packages/celeryferry-standins/src/celeryferry_standins/fleet_control.py
+++ b/packages/celeryferry-standins/src/celeryferry_standins/fleet_control.py
@@ -195,8 +195,14 @@
             if not host.process.running:
                 continue
             url = f"http://{host.control_address}/counters"
-            async with self.session.get(url) as response:
-                body = await response.read()
+            try:
+                async with self.session.get(url) as response:
+                    body = await response.read()
+            except aiohttp.ClientConnectionError:
+                # Another scenario may have killed it after the check.
+                if host.process.running:
+                    raise
+                continue
             found.update(msgspec.json.decode(body, type=dict[str, Counters]))
         return found
 
--- /dev/null
+++ b/tests/daemon/test_fleet_control.py
@@ -0,0 +1,48 @@
+"""Tests of the control of a test fleet."""
+
+import unittest
+from types import SimpleNamespace
+
+import aiohttp
+
+from celeryferry_standins.fleet_control import FleetControl
+
+
+class EndingProcess:
+    """A process that ends after its state was asked so many times.
+
+    :param checks: checks that find it running.
+    """
+
+    def __init__(self, checks: int):
+        self.checks = checks
+
+    @property
+    def running(self) -> bool:
+        """Whether it runs at this check."""
+        self.checks -= 1
+        return self.checks >= 0
+
+
+class TestReadCounters(unittest.IsolatedAsyncioTestCase):
+    """Guards scenarios that read counters while another one kills an upstream."""
+
+    async def read(self, checks: int):
+        """Read the counters of an upstream whose address refuses connections."""
+        async with aiohttp.ClientSession() as session:
+            control = FleetControl()
+            control.session = session
+            host = SimpleNamespace(
+                process=EndingProcess(checks), control_address="127.0.0.1:1"
+            )
+            control.upstreams = {"u": SimpleNamespace(host=host)}
+            return await control.read_counters()
+
+    async def test_upstream_killed_after_the_check_is_left_out(self):
+        """Guards against an error of one scenario because of the faults of another."""
+        self.assertEqual(await self.read(checks=1), {})
+
+    async def test_refused_connection_of_a_running_upstream_is_an_error(self):
+        """Guards against counters that are missing without anybody noticing."""
+        with self.assertRaises(aiohttp.ClientConnectionError):
+            await self.read(checks=2)
