--- a/packages/celeryferry-cli/src/celeryferry_cli/_internal/command_line.py
+++ b/packages/celeryferry-cli/src/celeryferry_cli/_internal/command_line.py
@@ -39,6 +39,7 @@
   check FILE...                 check service documents before they are stored
   status                        state of the whole fleet
   explain APPLICATION           how queries of an application are routed now
+  explain ID --log FILE         what happened to a request, from the hosts' logs
   drain                         begin the planned stop of one host
 
 status, explain and drain need --host IP:PORT of a peer listener and
--- a/packages/celeryferry-cli/src/celeryferry_cli/_internal/commands/explain.py
+++ b/packages/celeryferry-cli/src/celeryferry_cli/_internal/commands/explain.py
@@ -7,8 +7,13 @@
 from result import Err, Ok
 
 from celeryferry_cli._internal.client import open_client, try_each
-from celeryferry_cli._internal.failures import load_token, report_failure
-from celeryferry_cli._internal.options import parse_hosts, parse_with
+from celeryferry_cli._internal.commands.explain_log import explain_request
+from celeryferry_cli._internal.failures import (
+    load_token,
+    report_failure,
+    report_invalid,
+)
+from celeryferry_cli._internal.options import parse_files, parse_hosts, parse_with
 from celeryferry_cli._internal.reports import (
     ExitCode,
     Invocation,
@@ -18,40 +23,58 @@
 TIMEOUT = timedelta(seconds=5)
 
 
-@parse_with(host=parse_hosts)
+@parse_with(host=parse_hosts, log=parse_files)
 def explain(
-    application: str,
+    name: str,
     *,
-    host: tuple[str, ...],
+    host: tuple[str, ...] = (),
+    log: tuple[str, ...] = (),
     token_file: str | None = None,
     json: bool = False,
 ) -> Invocation:
-    """Show how a host would route a query of an application now, and why.
+    """Show how a query would be routed now, or what happened to a request, and why.
 
-    :param application: name of the application.
+    :param name: an application with --host, the id of a request with --log.
     :param host: ip:port of one or more peer listeners, separated by commas; the
         first one that answers is asked.
+    :param log: one or more log files of hosts, separated by commas.
     :param token_file: file with the fleet token.
     :param json: print JSON instead of text.
     """
-    path = f"/operator/v1/explain?{urlencode({'application': application})}"
+    if bool(host) == bool(log):
+        return Invocation(_refuse_options, json)
+    if log:
+        return Invocation(lambda: _explain_from(name, log), json)
+    return Invocation(lambda: _ask_host(name, host, token_file), json)
+
+
+async def _refuse_options() -> Report:
+    return report_invalid(
+        "give either --host IP:PORT for an application or --log FILE for a request id"
+    )
 
-    async def start() -> Report:
-        token = load_token(token_file)
-        if isinstance(token, Err):
-            return token.err_value
-        async with open_client(token.ok_value) as client:
-            result = await try_each(
-                host,
-                lambda address: client.get(address, path, dict[str, Any], TIMEOUT),
-            )
-        match result:
-            case Ok(answer):
-                return Report(ExitCode.OK, tuple(_describe(answer)), answer)
-            case Err(error):
-                return report_failure(error)
-
-    return Invocation(start, json)
+
+async def _explain_from(request_id: str, files: tuple[str, ...]) -> Report:
+    return explain_request(request_id, files)
+
+
+async def _ask_host(
+    application: str, host: tuple[str, ...], token_file: str | None
+) -> Report:
+    path = f"/operator/v1/explain?{urlencode({'application': application})}"
+    token = load_token(token_file)
+    if isinstance(token, Err):
+        return token.err_value
+    async with open_client(token.ok_value) as client:
+        result = await try_each(
+            host,
+            lambda address: client.get(address, path, dict[str, Any], TIMEOUT),
+        )
+    match result:
+        case Ok(answer):
+            return Report(ExitCode.OK, tuple(_describe(answer)), answer)
+        case Err(error):
+            return report_failure(error)
 
 
 def _describe(answer: dict[str, Any]) -> list[str]:
--- /dev/null
+++ b/packages/celeryferry-cli/src/celeryferry_cli/_internal/commands/explain_log.py
@@ -0,0 +1,129 @@
+"""The way of one request through the logs of the hosts."""
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from celeryferry_cli._internal.failures import report_invalid
+from celeryferry_cli._internal.reports import ExitCode, Report
+
+REQUEST_EVENTS = frozenset({"request_answered", "request_without_rule", "caller_gone"})
+# Changes of what the host believed that are shown from before the request.
+MAX_CHANGES = 5
+_CAUSES = {
+    "complete": "answered in full",
+    "partly_covered": "answered without the shards whose attempts are not ok below",
+    "not_run_no_upstream": "not run: too few shards had an upstream that may be used",
+    "not_run_upstream_refused": "not run: every upstream that was asked refused it",
+    "not_run_other_instance": "not run: the addresses belong to other instances now",
+    "not_run_connect_failed": "not run: no connection to an upstream was accepted",
+    "not_run_overloaded": "not run: this host had too many requests of that rule",
+    "not_run_deadline": "not run: the caller's time was up when it arrived",
+    "unknown_timeout": "no answer within the time of the caller or the rule",
+    "unknown_connection_lost": "the connection broke after the request was sent",
+    "unknown_bad_response": "the upstream sent bytes that are no valid answer",
+    "unknown_not_covered": "too few shards could be answered",
+}
+
+
+def explain_request(request_id: str, files: tuple[str, ...]) -> Report:
+    """Describe what happened to a request.
+
+    :param request_id: id of the request.
+    :param files: log files of hosts; other text on a line is passed over.
+    :returns: the report; code 1 if no line names the request.
+    """
+    lines: list[str] = []
+    records: list[dict[str, Any]] = []
+    for file in files:
+        try:
+            entries = read_entries(Path(file))
+        except OSError as error:
+            return report_invalid(f"cannot read {file}: {error}")
+        for number, entry in enumerate(entries):
+            is_request = entry.get("event") in REQUEST_EVENTS
+            if is_request and entry.get("request_id") == request_id:
+                changes = find_changes(entries[:number], entry)
+                lines += [f"{file}:", *describe(entry, changes)]
+                records.append({"file": file, "request": entry, "before": changes})
+    if not records:
+        text = (
+            f"no line about request {request_id}; name the logs of all hosts. Lines "
+            "about single requests are left out under load, see lines_left_out."
+        )
+        return Report(ExitCode.FAILED, (text,), {"error": {"message": text}})
+    return Report(ExitCode.OK, tuple(lines), records)
+
+
+def read_entries(file: Path) -> list[dict[str, Any]]:
+    """Read the structured lines of a log.
+
+    :param file: the log; text before the JSON object of a line is passed over.
+    :returns: entries in order.
+    :raises OSError: if the file can't be read.
+    """
+    entries = []
+    for line in file.read_text(errors="replace").splitlines():
+        start = line.find("{")
+        if start < 0:
+            continue
+        try:
+            entry = msgspec.json.decode(line[start:])
+        except msgspec.DecodeError:
+            continue
+        if isinstance(entry, dict) and "event" in entry:
+            entries.append(entry)
+    return entries
+
+
+def find_changes(
+    earlier: list[dict[str, Any]], request: dict[str, Any]
+) -> list[dict[str, Any]]:
+    """Find the latest changes that may explain a request.
+
+    :param earlier: entries before the request's.
+    :param request: entry of the request.
+    :returns: changes of upstreams that it was sent to, and of what the host knew of
+        the sources, the domains and the other hosts; latest last.
+    """
+    tried = [text.split("/")[1].partition("@")[0] for text in _list_attempts(request)]
+    found = [
+        entry
+        for entry in earlier
+        if entry["event"] not in REQUEST_EVENTS
+        and (_names_instance(entry, tried) or not _is_about_upstream(entry))
+    ]
+    return found[-MAX_CHANGES:]
+
+
+def describe(entry: dict[str, Any], changes: list[dict[str, Any]]) -> list[str]:
+    """Return the text of one request.
+
+    :param entry: entry of the request.
+    :param changes: changes before it.
+    """
+    outcome = entry.get("outcome", entry["event"])
+    lines = [
+        f"{entry.get('time')}  rule {entry.get('rule')}, configuration version "
+        f"{entry.get('configuration_version')}, {entry.get('elapsed_ms')} ms",
+        f"outcome {outcome}: {_CAUSES.get(outcome, 'see the attempts')}",
+    ]
+    for text in _list_attempts(entry):
+        service, upstream, reason, result, elapsed = text.split("/")
+        lines.append(f"  {service}  {upstream}  {reason}  {result}  {elapsed}")
+    lines += [f"  before: {msgspec.json.encode(one).decode()}" for one in changes]
+    return lines
+
+
+def _list_attempts(entry: dict[str, Any]) -> list[str]:
+    return [text for text in entry.get("attempts", ()) if text.count("/") == 4]
+
+
+def _is_about_upstream(entry: dict[str, Any]) -> bool:
+    return entry["event"].startswith("upstream_")
+
+
+def _names_instance(entry: dict[str, Any], tried: list[str]) -> bool:
+    listed = entry.get("upstream", {})
+    return entry.get("instance_id", listed.get("instance_id")) in tried
--- a/packages/celeryferry-cli/src/celeryferry_cli/_internal/options.py
+++ b/packages/celeryferry-cli/src/celeryferry_cli/_internal/options.py
@@ -74,6 +74,15 @@
     return addresses
 
 
+def parse_files(text: str) -> tuple[str, ...]:
+    """Read names of files separated by commas.
+
+    :param text: text from the command line.
+    :returns: the names.
+    """
+    return tuple(part.strip() for part in text.split(",") if part.strip())
+
+
 def parse_json_value(text: str) -> msgspec.Raw:
     """Read a JSON value; any other text becomes a JSON string.
 
--- /dev/null
+++ b/tests/cli/test_explain_log.py
@@ -0,0 +1,84 @@
+"""Tests of ``celeryferry explain ID --log FILE``."""
+
+import json
+
+from tests.cli.command_case import CommandCase
+
+
+def write_line(event: str, prefix: str = "", **fields) -> str:
+    """Return one line of a log."""
+    line = {"time": "2026-12-04T15:00:00+00:00", "event": event} | fields
+    return prefix + json.dumps(line)
+
+
+LOST = write_line(
+    "request_answered",
+    prefix="  12.5 host-1 ",
+    request_id="id-2",
+    rule="lookup",
+    configuration_version=7,
+    outcome="unknown_not_covered",
+    elapsed_ms=61.0,
+    attempts=[
+        "s0/i-1@10.0.0.1:80/own_domain/lost:connection_lost/4ms",
+        "s0/i-2@10.0.0.2:80/remote/failed:500/9ms",
+    ],
+)
+LOG = [
+    "Traceback of another program {",
+    write_line("upstream_gone", instance_id="i-9"),
+    write_line("upstream_listed", upstream={"instance_id": "i-1"}),
+    write_line("source_lost", source="upstreams", reason="status 503"),
+    write_line("request_answered", request_id="id-1", outcome="complete"),
+    LOST,
+    write_line("source_back", source="upstreams"),
+]
+
+
+class TestExplainLog(CommandCase):
+    """Guards the way from the id of a failed request to its cause."""
+
+    def explain(self, *words: str) -> tuple[int, str]:
+        """Explain from a log file."""
+        file = self.folder / "host-1.log"
+        file.write_text("\n".join(LOG))
+        return self.run_command("explain", *words, "--log", str(file))
+
+    def test_attempts_and_what_the_host_knew_are_shown(self):
+        """Guards against an outcome without its inputs."""
+        code, output = self.explain("id-2")
+        self.assertEqual(code, 0, output)
+        self.assertIn("too few shards could be answered", output)
+        self.assertIn("configuration version 7", output)
+        self.assertIn("lost:connection_lost", output)
+        self.assertIn("status 503", output)
+
+    def test_changes_of_other_upstreams_and_later_ones_are_left_out(self):
+        """Guards against causes that had no part in the request."""
+        output = self.explain("id-2")[1]
+        self.assertIn('"instance_id":"i-1"', output)
+        self.assertNotIn("i-9", output)
+        self.assertNotIn("source_back", output)
+
+    def test_json_holds_the_entries(self):
+        """Guards programs that read the explanation."""
+        found = json.loads(self.explain("id-2", "--json")[1])
+        self.assertEqual(found[0]["request"]["outcome"], "unknown_not_covered")
+
+    def test_unknown_id_says_what_to_do(self):
+        """Guards against silence about an id that no line names."""
+        code, output = self.explain("id-3")
+        self.assertEqual(code, 1)
+        self.assertIn("logs of all hosts", output)
+
+    def test_unreadable_file_is_wrong_usage(self):
+        """Guards against an explanation from half of the logs."""
+        code, output = self.run_command("explain", "id-2", "--log", "/nowhere")
+        self.assertEqual(code, 2)
+        self.assertIn("/nowhere", output)
+
+    def test_log_or_host_is_needed(self):
+        """Guards against a question that names nobody to ask."""
+        code, output = self.run_command("explain", "id-2")
+        self.assertEqual(code, 2)
+        self.assertIn("--log FILE", output)
