Show delivered wrong answers whichever replica the fronts choose

Cause: TestWithoutAnswerMatch made one of three replicas misbehave and expected a wrong answer; the fronts may send every query to the other two.

Change: all replicas of the shard misbehave, and every answer that covers it must be wrong, but for the first one of each replica. Stricter: one of 60 was enough before.

Conclusion: a wrong test, replaced by a stricter one.

--- a/tests/system/test_stated_coverage.py
+++ b/tests/system/test_stated_coverage.py
@@ -128,16 +128,30 @@
     plan = make_small_plan(without=("answer_match",))
 
     def test_answer_for_another_shard_is_stated_as_covered(self):
-        queries = self.run_async(self._ask("other_shard"))
-        self.assertNotEqual(queries.list_faults(), [])
+        self._assert_delivered("other_shard", right_count=0)
 
     def test_answer_to_the_previous_request_is_delivered(self):
-        queries = self.run_async(self._ask("previous_answer"))
-        self.assertNotEqual(queries.list_faults(), [])
+        # The first request of a replica has no previous answer.
+        self._assert_delivered("previous_answer", right_count=len(DOMAINS))
+
+    def _assert_delivered(self, fault, right_count):
+        """Assert that the wrong answers of a shard reach the callers.
+
+        All replicas of the shard misbehave, because a front may send every query to
+        the replicas of other failure domains than the one under test.
+        """
+        queries = self.run_async(self._ask(fault))
+        covering = [
+            answer
+            for answer in queries.answers
+            if FIRST in {one.service for one in answer.covered}
+        ]
+        self.assertGreater(len(covering), right_count)
+        faults = queries.list_faults()
+        self.assertGreaterEqual(len(faults), len(covering) - right_count)
 
     async def _ask(self, fault):
-        name = name_upstream(FIRST, "a")
-        await self.fleet.control_upstream(name, misbehaviour=fault)
+        await self.change_upstreams(OF_FIRST, misbehaviour=fault)
         return await ask_many(self.fleet, fault, 60)
 
 
