Start a host in the test only after its peers have lost the store

Ruled out: a fault of the mechanism; with the peers' loss awaited, the old rule fails and the mended one passes.

Change: the store's stand-in ends waiting watches when it goes down; the test waits until each peer has logged the loss of both sources.

Conclusion: the test now fails without its mechanism.

--- a/packages/celeryferry-standins/src/celeryferry_standins/platform/store.py
+++ b/packages/celeryferry-standins/src/celeryferry_standins/platform/store.py
@@ -68,6 +68,12 @@
         self._items.pop(key, None)
         await self._publish({"key": key, "revision": self.revision, "deleted": True})
 
+    async def go_down(self) -> None:
+        """Answer every call with 503 from now on, waiting watches too."""
+        self.is_down = True
+        async with self._changed:
+            self._changed.notify_all()
+
     def drop_history(self) -> None:
         """Forget all changes, so that watches must start anew."""
         self._events.clear()
--- a/tests/system/test_platform_daemon.py
+++ b/tests/system/test_platform_daemon.py
@@ -12,6 +12,8 @@
 from celeryferry_standins.processes import StartError, wait_until
 
 SHARDS = ("s0", "s1", "s2", "s3")
+# Upstreams, and what operators publish.
+SOURCE_COUNT = 2
 # Only bounds a test that hangs.
 GIVE_UP_TIME = timedelta(seconds=40)
 LOOKUP = {
@@ -197,9 +199,15 @@
 
     async def test_host_that_starts_without_the_store_learns_from_its_peers(self):
         """Guards against a host that can't serve because the store is down."""
-        host = self.fleet.hosts[0]
+        host, *peers = self.fleet.hosts
         host.process.kill()
-        self.fleet.store.is_down = True
+        await self.fleet.store.go_down()
+
+        async def have_peers_lost_it() -> bool:
+            logs = [peer.process.read_log() for peer in peers]
+            return all(log.count('"source_lost"') == SOURCE_COUNT for log in logs)
+
+        await self.wait(have_peers_lost_it, "the peers have lost the store")
         host.start(self.fleet.folder, self.fleet.settings)
         await self.wait(self.are_all_named, "the restarted host serves")
         self.assertEqual((await self.ask(host))[0], 200)
