Show mixed versions whichever replica the fronts choose

Cause: TestWithoutSnapshotCheck made one of three replicas answer from another version and expected a mixed answer; the fronts may prefer the other two.

Ruled out: mixed answers that are dropped although the check is off: in 24 measurements beside four busy processes the wrong answers never exceeded that replica's executions.

Change: all replicas of the shard misbehave, and every answer that covers it must be wrong. Stricter: one of 60 was enough before.

--- a/tests/system/support_answers.py
+++ b/tests/system/support_answers.py
@@ -147,6 +147,14 @@
         """Answers below full coverage."""
         return [one for one in self.answers if not one.complete]
 
+    def list_covering(self, service: str) -> list[SearchAnswer]:
+        """Return the answers that state a service as covered."""
+        return [
+            answer
+            for answer in self.answers
+            if service in {one.service for one in answer.covered}
+        ]
+
     def list_faults(
         self, shards_of: Callable[[int], frozenset[str]] | None = None
     ) -> list[str]:
--- a/tests/system/test_snapshot.py
+++ b/tests/system/test_snapshot.py
@@ -28,14 +28,19 @@
     return REST | {f"{FIRST}/{name}" for name in names}
 
 
-async def answer_other_version(fleet):
-    """Ask while one upstream answers from another version than it was asked for."""
-    name = name_upstream(FIRST, "a")
-    await fleet.control_upstream(name, misbehaviour="other_version")
+async def answer_other_version(fleet, domains):
+    """Ask while upstreams answer from another version than they were asked for.
+
+    :param domains: failure domains in which the replica of the first service does so.
+    """
+    names = [name_upstream(FIRST, domain) for domain in domains]
+    for name in names:
+        await fleet.control_upstream(name, misbehaviour="other_version")
     try:
         return await ask_many(fleet, "other", 60)
     finally:
-        await fleet.control_upstream(name, misbehaviour=None)
+        for name in names:
+            await fleet.control_upstream(name, misbehaviour=None)
 
 
 class TestSnapshots(AnswersCase):
@@ -126,7 +131,7 @@
         return before, await self._count_refusals(), queries
 
     def test_answer_of_another_version_is_dropped(self):
-        queries = self.run_async(answer_other_version(self.fleet))
+        queries = self.run_async(answer_other_version(self.fleet, "a"))
         self.assert_all_complete(queries)
 
     def test_zz_shards_are_repartitioned_under_running_queries(self):
@@ -179,8 +184,11 @@
     plan = make_small_plan(without=("snapshot_check",))
 
     def test_answer_of_another_version_is_mixed_in(self):
-        queries = self.run_async(answer_other_version(self.fleet))
-        self.assertNotEqual(queries.list_faults(), [])
+        # All replicas: a front may send every query to any two of the three.
+        queries = self.run_async(answer_other_version(self.fleet, DOMAINS))
+        covering = queries.list_covering(FIRST)
+        self.assertNotEqual(covering, [])
+        self.assertGreaterEqual(len(queries.list_faults()), len(covering))
 
 
 if __name__ == "__main__":
--- a/tests/system/test_stated_coverage.py
+++ b/tests/system/test_stated_coverage.py
@@ -141,11 +141,7 @@
         the replicas of other failure domains than the one under test.
         """
         queries = self.run_async(self._ask(fault))
-        covering = [
-            answer
-            for answer in queries.answers
-            if FIRST in {one.service for one in answer.covered}
-        ]
+        covering = queries.list_covering(FIRST)
         self.assertGreater(len(covering), right_count)
         faults = queries.list_faults()
         self.assertGreaterEqual(len(faults), len(covering) - right_count)
