--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/attempts.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/attempts.py
@@ -68,11 +68,13 @@
     :ivar sent_at: monotonic time at which it was handed to the connection.
     :ivar ended_at: monotonic time of the outcome, None while it is open.
     :ivar outcome: its outcome, None while it is open.
+    :ivar is_overdue: whether it took much longer than usual.
     """
 
     __slots__ = (
         "attempt_id",
         "ended_at",
+        "is_overdue",
         "outcome",
         "reason",
         "sent_at",
@@ -90,6 +92,7 @@
         self.sent_at = timedelta(0)
         self.ended_at: timedelta | None = None
         self.outcome: AttemptOutcome | None = None
+        self.is_overdue = False
 
     @property
     def is_open(self) -> bool:
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/health.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/health.py
@@ -6,6 +6,9 @@
 FAILURE_WEIGHT = 0.1
 # Cost of a failed attempt relative to a successful one: it is made again elsewhere.
 FAILURE_COST = 8.0
+# An overdue attempt has taken four times the usual time or more, and the next one may
+# take as long.
+OVERDUE_COST = 3.0
 # An upstream that failed is a last choice for this time, doubled for every further
 # failure in a row.
 FIRST_BACKOFF = timedelta(milliseconds=250)
@@ -16,6 +19,7 @@
     """Observations of one upstream.
 
     :ivar in_flight: attempts of this host without an outcome.
+    :ivar overdue_count: those of them that take much longer than usual.
     :ivar reported_load: running and waiting requests that it reported, without those
         of this host.
     :ivar suspected_until: time until which it is a last choice.
@@ -26,12 +30,14 @@
         "_failures_in_row",
         "_slowness",
         "in_flight",
+        "overdue_count",
         "reported_load",
         "suspected_until",
     )
 
     def __init__(self) -> None:
         self.in_flight = 0
+        self.overdue_count = 0
         self.reported_load = 0
         self.suspected_until = timedelta(0)
         self._slowness = 1.0
@@ -79,6 +85,6 @@
         waiting = 1 + max(0, load + 1 - slots) / max(1, slots)
         # Below its slots a loaded upstream is only slightly slower.
         share = 1 + 0.25 * min(load, slots) / max(1, slots)
-        return (
-            self._slowness * waiting * share * (1 + FAILURE_COST * self._failure_ratio)
-        )
+        failing = 1 + FAILURE_COST * self._failure_ratio
+        silent = 1 + OVERDUE_COST * self.overdue_count
+        return self._slowness * waiting * share * failing * silent
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/session.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/session.py
@@ -16,10 +16,11 @@
     SetTimer,
     TimerFired,
 )
+from celeryferry_core.forwarding.health import UpstreamHealth
+from celeryferry_core.forwarding.learning import learn_outcome, note_overdue
 from celeryferry_core.forwarding.models import ForwardingRule
 from celeryferry_core.forwarding.outcomes import (
     Failed,
-    LossReason,
     Lost,
     NotRunResult,
     RefusalReason,
@@ -33,7 +34,7 @@
     count_required,
     is_final_failure,
 )
-from celeryferry_core.forwarding.selection import UpstreamSelector
+from celeryferry_core.forwarding.selection import Selection, UpstreamSelector
 from celeryferry_core.forwarding.timing import LATEST_HEDGE_PART, TimesByRule
 from celeryferry_core.mechanisms import Mechanisms
 from celeryferry_core.ports import RandomSource
@@ -97,7 +98,9 @@
         "_actions",
         "_enough_at",
         "_finish_at",
+        "_first_at",
         "_knowledge",
+        "_overdue_at",
         "_required",
         "_shards",
         "_started",
@@ -126,6 +129,8 @@
         self._enough_at = started + rule.target_latency * ENOUGH_AFTER_PART
         self._required = count_required(rule.target, len(services))
         self._shards = [ShardState(service) for service in services]
+        self._first_at: timedelta | None = None
+        self._overdue_at: timedelta | None = None
         self._timer_at: timedelta | None = None
         self._actions: list[Action] = []
 
@@ -136,15 +141,14 @@
         :returns: actions in order.
         """
         if now >= self._finish_at:
-            self._finish(self._refuse(RefusalReason.DEADLINE, now))
+            self._finish(self._refuse(RefusalReason.DEADLINE, now), now)
             return self._take_actions()
         for shard in self._shards:
             self._knowledge.budgets.count_request(shard.service)
         if self._count_reachable() < self._required:
-            self._finish(self._refuse(RefusalReason.NO_UPSTREAM, now))
+            self._finish(self._refuse(RefusalReason.NO_UPSTREAM, now), now)
             return self._take_actions()
-        for shard in self._shards:
-            self._send(shard, now)
+        self._send_first(now)
         return self._conclude(now)
 
     def handle(self, event: Event, now: timedelta) -> list[Action]:
@@ -177,7 +181,8 @@
         if not attempt.is_open:
             return
         attempt.end(event.outcome, now)
-        self._learn(attempt, event, now)
+        health = self._health_of(attempt)
+        learn_outcome(health, self._times, attempt, event, now)
         shard = attempt.shard
         shard.open_count -= 1
         if self.result is not None or shard.is_closed:
@@ -200,23 +205,18 @@
                 else:
                     shard.has_failed = True
 
-    def _learn(self, attempt: Attempt, event: AttemptEnded, now: timedelta) -> None:
-        instance_id = attempt.upstream.instance_id
-        health = self._knowledge.selector.health_of(instance_id)
-        health.in_flight -= 1
-        if event.reported_load is not None:
-            health.reported_load = max(0, event.reported_load - 1 - health.in_flight)
-        elapsed = now - attempt.sent_at
-        match event.outcome:
-            case Succeeded():
-                health.record_success(self._times.relate(elapsed))
-                self._times.record(elapsed)
-            case Refused(RefusalReason.UPSTREAM_REFUSED):
-                health.record_refusal()
-            case Lost(LossReason.CANCELLED):
-                health.record_slow(self._times.relate(elapsed))
-            case _:
-                health.record_failure(now)
+    def _health_of(self, attempt: Attempt) -> UpstreamHealth:
+        return self._knowledge.selector.health_of(attempt.upstream.instance_id)
+
+    def _note_overdue(self, now: timedelta) -> None:
+        delay = self._times.overdue_delay
+        self._overdue_at = None
+        for attempt in self.attempts:
+            is_beaten = attempt.shard.success is not None
+            if is_beaten or now >= attempt.sent_at + delay:
+                note_overdue(self._health_of(attempt), attempt)
+            elif attempt.is_open:
+                self._overdue_at = now + delay
 
     def _retry(self, shard: ShardState, now: timedelta, needs_budget: bool) -> None:
         if shard.open_count:
@@ -235,6 +235,12 @@
     def _wake(self, now: timedelta) -> None:
         if self.result is not None or now >= self._finish_at:
             return
+        if self._first_at is not None:
+            if now >= self._first_at:
+                self._send_first(now)
+            return
+        if self._overdue_at is not None and now >= self._overdue_at:
+            self._note_overdue(now)
         for shard in self._shards:
             if shard.is_closed:
                 continue
@@ -271,9 +277,27 @@
         if self._take_budget(shard):
             self._add_attempt(shard, selection.upstream, f"hedge_{selection.reason}")
 
+    def _send_first(self, now: timedelta) -> None:
+        """Send to the shards, or to none while too few of them may get work."""
+        choose = self._knowledge.selector.choose
+        selections = [choose(shard.service, now) for shard in self._shards]
+        self._first_at = None
+        if sum(found is not None for found in selections) < self._required:
+            if self._may_wait(now):
+                self._first_at = now + WAIT_INTERVAL
+            else:
+                self._finish(self._refuse(RefusalReason.NO_UPSTREAM, now), now)
+            return
+        for shard, selection in zip(self._shards, selections, strict=True):
+            self._send_to(shard, selection, now)
+
     def _send(self, shard: ShardState, now: timedelta) -> None:
         selector = self._knowledge.selector
-        selection = selector.choose(shard.service, now, shard.tried)
+        self._send_to(shard, selector.choose(shard.service, now, shard.tried), now)
+
+    def _send_to(
+        self, shard: ShardState, selection: Selection | None, now: timedelta
+    ) -> None:
         if selection is None:
             self._wait(shard, now)
             return
@@ -282,9 +306,12 @@
             shard.first_sent_at = now
             shard.hedge_at = now + self._times.hedge_delay
 
-    def _wait(self, shard: ShardState, now: timedelta) -> None:
+    def _may_wait(self, now: timedelta) -> bool:
         wait_until = self._started + self.rule.target_latency * MAX_WAIT_PART
-        if now + WAIT_INTERVAL <= wait_until and not shard.tried:
+        return now + WAIT_INTERVAL <= min(wait_until, self._finish_at)
+
+    def _wait(self, shard: ShardState, now: timedelta) -> None:
+        if self._may_wait(now) and not shard.tried:
             shard.retry_at = now + WAIT_INTERVAL
             return
         shard.has_failed = True
@@ -309,11 +336,13 @@
             if isinstance(action, SendAttempt):
                 attempt = self.attempts[action.attempt_id]
                 attempt.sent_at = now
+                if self._overdue_at is None:
+                    self._overdue_at = now + self._times.overdue_delay
                 self._knowledge.selector.count_sent(attempt.upstream, now)
         if self.result is None:
             result = self._find_result(now)
             if result is not None:
-                self._finish(result)
+                self._finish(result, now)
             else:
                 self._arm_timer(now)
         return self._take_actions()
@@ -344,6 +373,7 @@
 
     def _arm_timer(self, now: timedelta) -> None:
         times = [self._finish_at]
+        times += [t for t in (self._first_at, self._overdue_at) if t is not None]
         if now < self._enough_at:
             times.append(self._enough_at)
         for shard in self._shards:
@@ -354,8 +384,9 @@
             self._timer_at = at
             self._actions.append(SetTimer(at))
 
-    def _finish(self, result: RequestResult) -> None:
+    def _finish(self, result: RequestResult, now: timedelta) -> None:
         self.result = result
+        self._note_overdue(now)
         self._actions.append(Finish(result))
 
     def _take_actions(self) -> list[Action]:
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/timing.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/timing.py
@@ -11,6 +11,10 @@
 # A later hedge could not be answered within the target.
 LATEST_HEDGE_PART = 1 / 2
 MIN_HEDGE_DELAY = timedelta(milliseconds=8)
+# Upstreams of one service differ in speed by up to 1.6 and single requests in work by
+# about 2; what takes longer than both together is overdue.
+OVERDUE_FACTOR = 4.0
+MIN_OVERDUE_DELAY = timedelta(milliseconds=25)
 USUAL_WEIGHT = 0.05
 ONE_MS = timedelta(milliseconds=1)
 
@@ -54,6 +58,11 @@
         measured = timedelta(milliseconds=self._window.delay_ms)
         return max(MIN_HEDGE_DELAY, min(measured, self._target * LATEST_HEDGE_PART))
 
+    @property
+    def overdue_delay(self) -> timedelta:
+        """Time after which a pending attempt counts against its upstream."""
+        return max(MIN_OVERDUE_DELAY, self._usual_ms * ONE_MS * OVERDUE_FACTOR)
+
 
 class TimesByRule:
     """Times of all rules by name."""
--- a/tests/core/forwarding_rig.py
+++ b/tests/core/forwarding_rig.py
@@ -152,6 +152,19 @@
         self._order = itertools.count()
         self._timer: int | None = None
 
+    def leave_open(self, rule: ForwardingRule, elapsed: timedelta) -> None:
+        """Start a request to one service and let time pass without an answer."""
+        services = (rule.target.parts[0].service,)
+        until = self.now + elapsed
+        session = ForwardingSession(rule, services, self.now, ms(5_000), self.knowledge)
+        actions = session.start(self.now)
+        timers = [action.at for action in actions if isinstance(action, SetTimer)]
+        while timers and timers[-1] <= until:
+            self.now = timers[-1]
+            actions = session.handle(TimerFired(), self.now)
+            timers = [action.at for action in actions if isinstance(action, SetTimer)]
+        self.now = until
+
     def run(self, rule: ForwardingRule, time_left_ms: float = 1_000, gone_ms=None):
         """Play one request and return its result."""
         match rule.target:
--- a/tests/core/test_forwarding.py
+++ b/tests/core/test_forwarding.py
@@ -4,9 +4,11 @@
 from dataclasses import replace
 from datetime import timedelta
 
+from celeryferry_core.forwarding.events import AttemptEnded
 from celeryferry_core.forwarding.models import Sharded
 from celeryferry_core.forwarding.outcomes import (
     LossReason,
+    Lost,
     Merged,
     NotRunResult,
     RefusalReason,
@@ -29,6 +31,11 @@
 )
 
 
+def make_cold(rig: ForwardingRig, service: str, for_ms: float) -> None:
+    """Let the upstream of a service in the own domain turn cold."""
+    rig.registry.put(make_upstream(service, "a", cold_for=ms(for_ms)), rig.now)
+
+
 def record(number: int) -> bytes:
     """Return a record whose order is that of its number."""
     return number.to_bytes(16, "big")
@@ -132,6 +139,29 @@
         self.assertEqual(result.reason, RefusalReason.DEADLINE)
         self.assertEqual(rig.sent, [])
 
+    def test_nothing_is_sent_while_too_few_shards_may_get_work(self):
+        """Guards against work at the other shards for an answer that can't be given."""
+        rig = ForwardingRig(domains="a")
+        rig.warmup.host_ids = ("host-2",)
+        make_cold(rig, "s0", for_ms=5_000)
+        make_cold(rig, "s1", for_ms=5_000)
+        result = rig.run(make_sharded_rule())
+        self.assertIsInstance(result, NotRunResult)
+        self.assertEqual(result.reason, RefusalReason.NO_UPSTREAM)
+        self.assertEqual(rig.sent, [])
+        self.assertLessEqual(rig.elapsed, ms(50), "a quarter of the target")
+
+    def test_shards_that_warm_up_soon_are_waited_for(self):
+        """Guards against a refusal of what can be served a moment later."""
+        rig = ForwardingRig(domains="a")
+        rig.warmup.host_ids = ("host-2",)
+        make_cold(rig, "s0", for_ms=30)
+        make_cold(rig, "s1", for_ms=30)
+        result = rig.run(make_sharded_rule())
+        self.assertIsInstance(result, Merged)
+        self.assertEqual(result.missing_count, 0)
+        self.assertLessEqual(rig.elapsed, ms(50))
+
 
 class TestNonRepeatableRequest(unittest.TestCase):
     """Guards that a request runs at most once, and that "not run" is true."""
@@ -343,6 +373,58 @@
             rig.run(make_single_rule())
         self.assertEqual(len(rig.sent), 1)
 
+    def test_short_deadline_of_a_caller_is_no_failure_of_the_upstream(self):
+        """Guards against a sound upstream that is left out for an impatient caller."""
+        rig = ForwardingRig(lambda a, _: (30.0, succeed(a)))
+        for _ in range(3):
+            rig.run(make_single_rule())
+        rig.script = lambda a, _: (
+            20.0,
+            AttemptEnded(a.attempt_id, Lost(LossReason.TIMEOUT)),
+        )
+        rig.run(make_single_rule(), time_left_ms=30)
+        rig.run(make_single_rule())
+        self.assertEqual(rig.sent[0].upstream.instance_id, "orders-a")
+
+    def test_upstream_that_reports_a_passed_deadline_is_not_left_out(self):
+        """Guards against a sound upstream that is left out for an impatient caller."""
+        rig = ForwardingRig(lambda a, _: (5.0, fail(a, 504)))
+        rig.run(make_single_rule(is_repeatable=False))
+        rig.run(make_single_rule(is_repeatable=False))
+        self.assertEqual(rig.sent[0].upstream.instance_id, "orders-a")
+
+    def test_silent_upstream_is_avoided_before_its_first_attempt_ends(self):
+        """Guards against work for a silent upstream until the first deadline passes."""
+        rig = ForwardingRig()
+        for _ in range(50):
+            rig.run(make_single_rule(is_repeatable=False))
+        rig.leave_open(make_single_rule(is_repeatable=False), ms(60))
+        rig.run(make_single_rule(is_repeatable=False))
+        self.assertNotEqual(rig.sent[0].upstream.instance_id, "orders-a")
+
+    def test_service_that_is_slow_as_a_whole_keeps_its_own_domain(self):
+        """Guards against work that changes domain though all are equally late."""
+        rig = ForwardingRig()
+        rule = make_single_rule(is_repeatable=False)
+        for _ in range(50):
+            rig.run(rule)
+        for _ in range(3):
+            rig.leave_open(rule, ms(60))
+        rig.run(rule)
+        self.assertEqual(rig.sent[0].upstream.instance_id, "orders-a")
+
+    def test_late_answer_ends_the_avoidance(self):
+        """Guards against an upstream that stays avoided after it has answered."""
+        rig = ForwardingRig()
+        rule = make_single_rule(is_repeatable=False)
+        for _ in range(50):
+            rig.run(rule)
+        rig.script = lambda a, _: (60.0, succeed(a))
+        rig.run(rule)
+        rig.script = answer_all
+        rig.run(rule)
+        self.assertEqual(rig.sent[0].upstream.instance_id, "orders-a")
+
     def test_connections_to_an_upstream_are_shared_by_the_hosts(self):
         """Guards against more connections than an upstream accepts."""
         rig = ForwardingRig()
