--- a/packages/celeryferry-cli/src/celeryferry_cli/_internal/commands/explain_log.py
+++ b/packages/celeryferry-cli/src/celeryferry_cli/_internal/commands/explain_log.py
@@ -8,7 +8,7 @@
 from celeryferry_cli._internal.failures import report_invalid
 from celeryferry_cli._internal.reports import ExitCode, Report
 
-REQUEST_EVENTS = frozenset({"request_answered", "request_without_rule", "caller_gone"})
+REQUEST_EVENTS = frozenset({"request_answered", "request_rejected", "caller_gone"})
 # Changes of what the host believed that are shown from before the request.
 MAX_CHANGES = 5
 _CAUSES = {
@@ -20,6 +20,10 @@
     "not_run_connect_failed": "not run: no connection to an upstream was accepted",
     "not_run_overloaded": "not run: this host had too many requests of that rule",
     "not_run_deadline": "not run: the caller's time was up when it arrived",
+    "rejected_no_rule": "404: no rule has this host name and path in that version",
+    "rejected_head_too_large": "431: larger than the configured head of a request",
+    "rejected_body_too_large": "413: larger than the configured body of a request",
+    "rejected_body_late": "408: the body did not arrive within the caller's time",
     "unknown_timeout": "no answer within the time of the caller or the rule",
     "unknown_connection_lost": "the connection broke after the request was sent",
     "unknown_bad_response": "the upstream sent bytes that are no valid answer",
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/models.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/models.py
@@ -85,11 +85,13 @@
 
     :param header_bytes: largest size of a request head.
     :param body_bytes: largest size of a request body.
+    :param head_time: time for a complete request head.
     :param idle_time: time after which an idle connection is closed.
     """
 
     header_bytes: int = 16_384
     body_bytes: int = 262_144
+    head_time: timedelta = timedelta(seconds=10)
     idle_time: timedelta = timedelta(seconds=60)
 
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
@@ -17,6 +17,7 @@
 from celeryferry_daemon._internal.clock import SystemClock
 from celeryferry_daemon._internal.forwarding.callers import CallersHandler
 from celeryferry_daemon._internal.forwarding.follower import SourceFollower
+from celeryferry_daemon._internal.forwarding.listener import start_callers_listener
 from celeryferry_daemon._internal.forwarding.log_lines import LogLines
 from celeryferry_daemon._internal.forwarding.messages import CallerResponse
 from celeryferry_daemon._internal.forwarding.metrics import RequestMetrics
@@ -39,12 +40,9 @@
 POLL_INTERVAL = timedelta(milliseconds=50)
 HOUSEKEEPING_INTERVAL = timedelta(milliseconds=250)
 RELOAD_INTERVAL = timedelta(seconds=2)
-# An idle connection must outlive the time for which callers may use it again.
-CALLERS_KEEP_ALIVE = timedelta(seconds=75)
 LISTEN_BACKLOG = 512
-# The largest request head and body that any configuration may allow.
-MAX_BODY_BYTES = 1_048_576
-MAX_HEADER_BYTES = 65_536
+# A state of 16,000 upstreams takes about 4 MB.
+MAX_PEER_BODY_BYTES = 4 * 1_048_576
 
 LoadSettings = Callable[[], Result[ForwardingSettings, UnreadableSettingsError]]
 
@@ -142,18 +140,14 @@
         entry_hosts.add_routes(
             [web.get(self._wire.ENTRY_HOSTS_PATH, self._answer_entry_hosts)]
         )
-        peers = web.Application(client_max_size=MAX_BODY_BYTES * 4)
+        peers = web.Application(client_max_size=MAX_PEER_BODY_BYTES)
         peers.add_routes(self._peers.routes())
         peers.add_routes([web.get("/metrics", self._answer_metrics)])
-        callers = web.Server(
-            self._callers.handle,
-            handler_cancellation=True,
-            max_field_size=MAX_HEADER_BYTES,
-            max_line_size=MAX_HEADER_BYTES,
-            keepalive_timeout=CALLERS_KEEP_ALIVE.total_seconds(),
-        )
         await self._start(web.AppRunner(peers, access_log=None), settings.peers_address)
-        await self._start(web.ServerRunner(callers), settings.callers_address)
+        callers = start_callers_listener(
+            self._callers, self._state, settings.callers_address
+        )
+        self._runners.append(await callers)
         await self._start(
             web.AppRunner(entry_hosts, access_log=None), settings.entry_hosts_address
         )
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/callers.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/callers.py
@@ -5,8 +5,10 @@
 
 from aiohttp import web
 from multidict import CIMultiDict
+from result import Err, Ok
 
 from celeryferry_core.admission import Admission
+from celeryferry_core.forwarding.models import CallerBounds
 from celeryferry_core.forwarding.outcomes import (
     Merged,
     NotRunResult,
@@ -25,6 +27,12 @@
 from celeryferry_daemon._internal.forwarding.metrics import RequestMetrics
 from celeryferry_daemon._internal.forwarding.pool import UpstreamPool
 from celeryferry_daemon._internal.forwarding.ports import Wire
+from celeryferry_daemon._internal.forwarding.requests import (
+    STATUS_CODES,
+    Rejection,
+    decode_headers,
+    read_body,
+)
 from celeryferry_daemon._internal.forwarding.runner import SessionRun
 from celeryferry_daemon._internal.forwarding.state import HostState
 
@@ -85,21 +93,24 @@
         self.is_leaving = False
         self.running_count = 0
 
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def handle(
+        self, request: web.BaseRequest, bounds: CallerBounds
+    ) -> web.StreamResponse:
         """Answer one request.
 
         :param request: the request; its handler is cancelled if the caller leaves.
+        :param bounds: what the caller may send.
         :returns: the response.
         """
         started = self._clock.monotonic()
         self.running_count += 1
         try:
-            return await self._answer(request, started)
+            return await self._answer(request, bounds, started)
         finally:
             self.running_count -= 1
 
     async def _answer(
-        self, request: web.BaseRequest, started: timedelta
+        self, request: web.BaseRequest, bounds: CallerBounds, started: timedelta
     ) -> web.StreamResponse:
         configuration = self._state.configuration
         if configuration is None:
@@ -107,31 +118,18 @@
                 RefusalReason.NO_CONFIGURATION, UNCONFIGURED_RETRY_AFTER
             )
             return self._respond(self._wire.make_response(refusal))
-        target = request.raw_path
-        headers = tuple(
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in request.raw_headers
-        )
+        headers = decode_headers(request)
         request_id = self._wire.read_request_id(headers)
+        target = request.raw_path
         rule = self._state.rules.find(request.headers.get("Host", ""), target)
         if rule is None:
-            self._log.write_request(
-                "request_without_rule",
-                True,
-                request_id=request_id,
-                host=request.host,
-                target=target,
-                configuration_version=configuration.version,
-            )
-            return self._respond(CallerResponse(web.HTTPNotFound.status_code))
-        try:
-            body = await request.read()
-        except web.HTTPRequestEntityTooLarge:
-            return self._respond(
-                CallerResponse(web.HTTPRequestEntityTooLarge.status_code)
-            )
-        read = CallerRequest(request_id, request.method, target, headers, body)
+            return self._reject(request, request_id, Rejection.NO_RULE)
         time_left = self._wire.read_time_left(headers) or DEFAULT_TIME_LEFT
+        match await read_body(request, bounds, time_left):
+            case Err(rejection):
+                return self._reject(request, request_id, rejection)
+            case Ok(body):
+                read = CallerRequest(request_id, request.method, target, headers, body)
         services = pick_services(rule, self._random)
         session = ForwardingSession(
             rule, services, started, time_left, self._state.knowledge
@@ -140,6 +138,21 @@
         self._note(session, read, result, started, configuration.version)
         return self._respond(self._wire.make_response(result))
 
+    def _reject(
+        self, request: web.BaseRequest, request_id: str, rejection: Rejection
+    ) -> web.StreamResponse:
+        self._metrics.count_rejected(rejection)
+        self._log.write_request(
+            "request_rejected",
+            True,
+            request_id=request_id,
+            outcome=f"rejected_{rejection.value}",
+            host=request.host,
+            target=request.raw_path,
+            configuration_version=self._state.configuration.version,
+        )
+        return self._respond(CallerResponse(STATUS_CODES[rejection]))
+
     async def _run(
         self, session: ForwardingSession, request: CallerRequest
     ) -> RequestResult:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/metrics.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/metrics.py
@@ -4,6 +4,8 @@
 
 from aioprometheus import Counter, Histogram, Registry
 
+from celeryferry_daemon._internal.forwarding.requests import Rejection
+
 # Upper bounds in seconds around the targets of today's rules, 60 ms to 700 ms.
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.5, 5.0)
 
@@ -14,7 +16,7 @@
     :param registry: registry of the process.
     """
 
-    __slots__ = ("_latencies", "_results")
+    __slots__ = ("_latencies", "_rejections", "_results")
 
     def __init__(self, registry: Registry) -> None:
         self._results = Counter(
@@ -22,6 +24,11 @@
             "Requests by rule and result.",
             registry=registry,
         )
+        self._rejections = Counter(
+            "celeryferry_rejected_requests_total",
+            "Requests that were answered with a client error, by reason.",
+            registry=registry,
+        )
         self._latencies = Histogram(
             "celeryferry_request_seconds",
             "Time from the whole request to its result.",
@@ -45,3 +52,10 @@
         :param rule: name of its rule.
         """
         self._results.inc({"rule": rule, "outcome": "caller_gone"})
+
+    def count_rejected(self, rejection: Rejection) -> None:
+        """Count a request that was answered with a client error.
+
+        :param rejection: why.
+        """
+        self._rejections.inc({"reason": rejection.value})
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/requests.py
@@ -0,0 +1,64 @@
+"""Reading of callers' requests within the configured bounds."""
+
+import asyncio
+from datetime import timedelta
+from enum import StrEnum
+
+from aiohttp import web
+from result import Err, Ok, Result
+
+from celeryferry_core.forwarding.models import CallerBounds
+
+
+class Rejection(StrEnum):
+    """Why a request was answered with a client error and not run."""
+
+    NO_RULE = "no_rule"
+    HEAD_TOO_LARGE = "head_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+    BODY_LATE = "body_late"
+
+
+STATUS_CODES = {
+    Rejection.NO_RULE: web.HTTPNotFound.status_code,
+    Rejection.HEAD_TOO_LARGE: web.HTTPRequestHeaderFieldsTooLarge.status_code,
+    Rejection.BODY_TOO_LARGE: web.HTTPRequestEntityTooLarge.status_code,
+    Rejection.BODY_LATE: web.HTTPRequestTimeout.status_code,
+}
+
+
+def decode_headers(request: web.BaseRequest) -> tuple[tuple[str, str], ...]:
+    """Return the headers of a request as the caller sent them.
+
+    :param request: the request.
+    """
+    return tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in request.raw_headers
+    )
+
+
+async def read_body(
+    request: web.BaseRequest, bounds: CallerBounds, time_left: timedelta
+) -> Result[bytes, Rejection]:
+    """Read the body of a request within the bounds.
+
+    :param request: the request.
+    :param bounds: what the caller may send.
+    :param time_left: time for the whole request.
+    :returns: the body, or why the request is rejected.
+    """
+    head_bytes = sum(len(name) + len(value) for name, value in request.raw_headers)
+    if head_bytes > bounds.header_bytes:
+        return Err(Rejection.HEAD_TOO_LARGE)
+    if not request.body_exists:
+        return Ok(b"")
+    if (request.content_length or 0) > bounds.body_bytes:
+        return Err(Rejection.BODY_TOO_LARGE)
+    try:
+        async with asyncio.timeout(time_left.total_seconds()):
+            return Ok(await request.read())
+    except web.HTTPRequestEntityTooLarge:
+        return Err(Rejection.BODY_TOO_LARGE)
+    except TimeoutError:
+        return Err(Rejection.BODY_LATE)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/peers/server.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/peers/server.py
@@ -1,10 +1,8 @@
 """Listener for other daemons and operators."""
 
-import asyncio
 import hmac
 from collections.abc import Iterable
 from datetime import timedelta
-from weakref import WeakSet
 
 import msgspec
 from aiohttp import web
@@ -17,17 +15,12 @@
     ProbeRequest,
 )
 from celeryferry_core.ports import Clock
-from celeryferry_daemon._internal.request_heads import (
-    CHECKS_PER_TIMEOUT,
-    HEAD_TIMEOUT,
-    HeadTimedHandler,
-    mark_request,
-)
+from celeryferry_daemon._internal.bounded_site import BoundedSite, ListenerBounds
+from celeryferry_daemon._internal.request_heads import HEAD_TIMEOUT, mark_request
 
 PEER_BODY_BYTES = 256 * 1024
 HEADER_LINE_BYTES = 8190
 MAX_HEADERS = 64
-BACKLOG = 1024
 # Each open connection costs memory, also one that never sends a request. Callers keep
 # a few connections; daemons keep many to each of their peers.
 MAX_CALLER_CONNECTIONS = 1024
@@ -108,82 +101,6 @@
     return app
 
 
-class _Refuser(asyncio.Protocol):
-    """Closes a connection that exceeds the bound."""
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        transport.abort()
-
-
-class BoundedSite(web.BaseSite):
-    """Listens at an address and bounds the open connections.
-
-    :param runner: runner of the application.
-    :param ip: IP address.
-    :param port: port.
-    :param connections: largest number of open connections.
-    :param head_timeout: time for a complete request head.
-    """
-
-    def __init__(
-        self,
-        runner: web.AppRunner,
-        ip: str,
-        port: int,
-        connections: int,
-        head_timeout: timedelta,
-    ) -> None:
-        super().__init__(runner, backlog=BACKLOG)
-        self._address = ip, port
-        self._connections = connections
-        self._check_seconds = head_timeout.total_seconds() / CHECKS_PER_TIMEOUT
-        self._timer: asyncio.TimerHandle | None = None
-        # The event loop accepts up to BACKLOG connections before the server knows one
-        # of them. Weak, because a connection may fail before it is established.
-        self._connecting: WeakSet[HeadTimedHandler] = WeakSet()
-
-    @property
-    def name(self) -> str:
-        """URL of the listener."""
-        ip, port = self._address
-        return f"http://{ip}:{port}"
-
-    async def start(self) -> None:
-        """Listen."""
-        await super().start()
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._accept, *self._address, backlog=BACKLOG
-        )
-        self._timer = loop.call_later(self._check_seconds, self._check_heads)
-
-    async def stop(self) -> None:
-        """Stop listening."""
-        if self._timer is not None:
-            self._timer.cancel()
-        await super().stop()
-
-    def _accept(self) -> asyncio.Protocol:
-        server = self._runner.server
-        if server is None:
-            return _Refuser()
-        if len(server.connections) + len(self._connecting) >= self._connections:
-            return _Refuser()
-        loop = asyncio.get_running_loop()
-        handler = HeadTimedHandler(
-            server, self._connecting.discard, loop=loop, **HANDLER_OPTIONS
-        )
-        self._connecting.add(handler)
-        return handler
-
-    def _check_heads(self) -> None:
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(self._check_seconds, self._check_heads)
-        server = self._runner.server
-        for connection in server.connections if server is not None else ():
-            connection.check_head()
-
-
 async def start_listener(
     app: web.Application,
     address: str,
@@ -209,8 +126,9 @@
     )
     await runner.setup()
     ip, _, port = address.rpartition(":")
+    bounds = ListenerBounds(connections, head_timeout, HANDLER_OPTIONS)
     try:
-        await BoundedSite(runner, ip, int(port), connections, head_timeout).start()
+        await BoundedSite(runner, ip, int(port), lambda: bounds).start()
     except OSError:
         await runner.cleanup()
         raise
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/request_heads.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/request_heads.py
@@ -23,19 +23,29 @@
 
     :param server: server that the connection belongs to once it is established.
     :param on_connected: called with the connection when it is established.
+    :param times_first_head: whether the first head is unfinished before its first byte.
     :param options: options of aiohttp's handler.
     """
 
-    __slots__ = ("__weakref__", "_body", "_checks", "_is_busy", "_on_connected")
+    __slots__ = (
+        "__weakref__",
+        "_body",
+        "_checks",
+        "_is_busy",
+        "_on_connected",
+        "_times_first_head",
+    )
 
     def __init__(
         self,
         server: web.Server,
         on_connected: Callable[["HeadTimedHandler"], None],
+        times_first_head: bool = True,
         **options: Any,
     ) -> None:
         super().__init__(server, **options)
         self._on_connected = on_connected
+        self._times_first_head = times_first_head
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the first head.
@@ -43,7 +53,7 @@
         :param transport: the connection.
         """
         self._body: StreamReader | None = None
-        self._checks: int | None = 0
+        self._checks: int | None = 0 if self._times_first_head else None
         self._is_busy = False
         super().connection_made(transport)
         self._on_connected(self)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/entries.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/entries.py
@@ -66,6 +66,7 @@
 class _Limits(msgspec.Struct):
     max_header_bytes: int = 16_384
     max_body_bytes: int = 262_144
+    header_timeout_ms: float = 10_000
     idle_timeout_ms: float = 60_000
 
 
@@ -115,6 +116,7 @@
     callers = CallerBounds(
         limits.max_header_bytes,
         limits.max_body_bytes,
+        timedelta(milliseconds=limits.header_timeout_ms),
         timedelta(milliseconds=limits.idle_timeout_ms),
     )
     return Ok(ForwardingConfiguration(found.version, rules, services, callers))
--- /dev/null
+++ b/tests/daemon/test_callers_listener.py
@@ -0,0 +1,135 @@
+"""Tests of what callers of the forwarding daemon may send, over real connections."""
+
+import asyncio
+import unittest
+from datetime import timedelta
+from types import SimpleNamespace
+
+from aiohttp import web
+
+from celeryferry_core.forwarding.models import CallerBounds, ForwardingConfiguration
+from celeryferry_daemon._internal.forwarding.listener import start_callers_listener
+from celeryferry_daemon._internal.forwarding.requests import (
+    STATUS_CODES,
+    Rejection,
+    read_body,
+)
+
+BOUNDS = CallerBounds(
+    header_bytes=1000,
+    body_bytes=100,
+    head_time=timedelta(seconds=0.4),
+    idle_time=timedelta(seconds=3),
+)
+TIME_LEFT = timedelta(seconds=0.4)
+# Only bounds a test that hangs.
+GIVE_UP_SECONDS = 10.0
+
+
+class BodyReader:
+    """Handler that answers with the length of the body or its rejection."""
+
+    async def handle(self, request, bounds):
+        """Answer a request."""
+        result = await read_body(request, bounds, TIME_LEFT)
+        if result.is_err():
+            return web.Response(status=STATUS_CODES[result.unwrap_err()])
+        return web.Response(text=str(len(result.unwrap())))
+
+
+class TestCallersListener(unittest.IsolatedAsyncioTestCase):
+    """Guards the bounds that operators set for callers."""
+
+    async def asyncSetUp(self):
+        configuration = ForwardingConfiguration(1, (), {}, BOUNDS)
+        self.state = SimpleNamespace(configuration=configuration)
+        runner = await start_callers_listener(BodyReader(), self.state, "127.0.0.1:0")
+        self.addAsyncCleanup(runner.cleanup)
+        self.ip, self.port = runner.addresses[0]
+
+    async def connect(self):
+        """Open a connection."""
+        reader, writer = await asyncio.open_connection(self.ip, self.port)
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def ask(self, data: bytes, within_seconds: float = GIVE_UP_SECONDS) -> int:
+        """Send bytes on a new connection and return the status of the answer."""
+        reader, writer = await self.connect()
+        writer.write(data)
+        line = await asyncio.wait_for(reader.readline(), within_seconds)
+        return int(line.split()[1])
+
+    async def test_body_within_the_bound_is_read(self):
+        """Guards against a proper request that is rejected."""
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n"
+        self.assertEqual(await self.ask(head + b"x" * 100), 200)
+
+    async def test_larger_body_is_rejected_before_it_arrives(self):
+        """Guards against memory taken by a body that can't be accepted."""
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n"
+        self.assertEqual(await self.ask(head), 413)
+
+    async def test_larger_body_without_a_length_is_rejected(self):
+        """Guards against a body that grows beyond the bound chunk by chunk."""
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        body = b"60\r\n" + b"x" * 96 + b"\r\n5\r\nxxxxx\r\n0\r\n\r\n"
+        self.assertEqual(await self.ask(head + body), 413)
+
+    async def test_bound_follows_the_configuration(self):
+        """Guards against the bound of an earlier configuration."""
+        bounds = CallerBounds(body_bytes=2_000_000)
+        self.state.configuration = ForwardingConfiguration(2, (), {}, bounds)
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000000\r\n\r\n"
+        self.assertEqual(await self.ask(head + b"x" * 2_000_000), 200)
+
+    async def test_larger_head_is_rejected(self):
+        """Guards against many headers that are each small enough."""
+        lines = b"".join(b"X-%d: %s\r\n" % (n, b"y" * 90) for n in range(12))
+        head = b"GET / HTTP/1.1\r\nHost: a\r\n" + lines + b"\r\n"
+        self.assertEqual(await self.ask(head), 431)
+
+    async def test_body_that_stops_is_rejected_as_late(self):
+        """Guards against a request held for a body that never comes."""
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nxx"
+        within_seconds = BOUNDS.idle_time.total_seconds()
+        self.assertEqual(await self.ask(head, within_seconds), 408)
+
+    async def test_unfinished_head_ends_the_connection(self):
+        """Guards against connections held by heads that never end."""
+        reader, writer = await self.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost:")
+        closed = await asyncio.wait_for(reader.read(), BOUNDS.idle_time.total_seconds())
+        self.assertEqual(closed, b"")
+
+    async def test_unfinished_second_head_ends_the_connection(self):
+        """Guards against a kept connection held by a head that never ends."""
+        reader, writer = await self.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        await asyncio.wait_for(reader.readuntil(b"\r\n\r\n0"), GIVE_UP_SECONDS)
+        writer.write(b"GET / HTTP/1.1\r\nHost:")
+        closed = await asyncio.wait_for(reader.read(), BOUNDS.idle_time.total_seconds())
+        self.assertEqual(closed, b"")
+
+    async def test_connection_without_a_request_lives_as_long_as_an_idle_one(self):
+        """Guards against the loss of a request on a connection opened in advance."""
+        reader, writer = await self.connect()
+        # Past the time for heads, within four fifths of the idle time.
+        await asyncio.sleep(0.8)
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        line = await asyncio.wait_for(reader.readline(), GIVE_UP_SECONDS)
+        self.assertIn(b"200", line)
+
+    async def test_idle_connection_is_closed_after_the_configured_time(self):
+        """Guards against connections kept beyond what operators allow."""
+        reader, writer = await self.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        await asyncio.wait_for(reader.read(), GIVE_UP_SECONDS)
+
+
+class TestRejections(unittest.TestCase):
+    """Guards the statuses of rejections."""
+
+    def test_every_rejection_has_a_status(self):
+        """Guards against an internal error in place of a rejection."""
+        self.assertEqual(set(STATUS_CODES), set(Rejection))
