--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/__main__.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/__main__.py
@@ -14,7 +14,7 @@
 )
 from celeryferry_daemon.platform import wire
 from celeryferry_daemon.platform.boot import load_settings
-from celeryferry_daemon.platform.sources import OperatorSource, UpstreamSource
+from celeryferry_daemon.platform.sources import list_sources
 from celeryferry_daemon.platform.store import StoreClient
 
 
@@ -24,7 +24,7 @@
     :param settings: checked settings.
     """
     client = StoreClient(settings.store_address)
-    sources = [UpstreamSource(client), OperatorSource(client)]
+    sources = list_sources(client)
     try:
         await ForwardingDaemon(settings, sources, wire, load_settings).run()
     finally:
