--- a/tests/core/forwarding_rig.py
+++ b/tests/core/forwarding_rig.py
@@ -5,6 +5,9 @@
 import random
 from collections.abc import Callable
 from datetime import timedelta
+from typing import Any
+
+import msgspec
 
 from celeryferry_core.forwarding.budgets import ExtraBudgets
 from celeryferry_core.forwarding.events import (
@@ -132,7 +135,8 @@
         burst: float = 200.0,
     ) -> None:
         self.script = script
-        self.now = timedelta(seconds=100)
+        self.origin = timedelta(seconds=100)
+        self.now = self.origin
         self.registry = UpstreamRegistry()
         self.warmup = WarmupLimits("host-1", 1.5, 5.0)
         source = random.Random(7)
@@ -148,6 +152,7 @@
         self.sent: list[SendAttempt] = []
         self.cancelled: list[int] = []
         self.elapsed = timedelta(0)
+        self.transcript: list[bytes] = []
         self._events: list = []
         self._order = itertools.count()
         self._timer: int | None = None
@@ -177,6 +182,7 @@
         )
         self.sent, self.cancelled, self._events = [], [], []
         self._timer = None
+        self.transcript = []
         started = self.now
         result = self._take(self.session.start(self.now))
         if gone_ms is not None:
@@ -186,6 +192,7 @@
             if timer is not None and timer != self._timer:
                 continue
             self.now = max(self.now, at)
+            self._note("event", event, at_ms=(self.now - started) / ms(1))
             found = self._take(self.session.handle(event, self.now))
             if found is not None:
                 assert result is None, "a session has one result"
@@ -196,6 +203,7 @@
     def _take(self, actions):
         result = None
         for action in actions:
+            self._note("action", action)
             match action:
                 case SendAttempt():
                     self._send(action)
@@ -208,6 +216,21 @@
                     result = found
         return result
 
+    def _note(self, kind: str, message: msgspec.Struct, **fields: Any) -> None:
+        fields = {kind: type(message).__name__, **fields}
+        for name in message.__struct_fields__:
+            value = getattr(message, name)
+            if isinstance(value, Upstream):
+                fields[name] = value.instance_id
+            elif isinstance(value, msgspec.Struct):
+                fields[name] = {type(value).__name__: value}
+            elif isinstance(value, timedelta):
+                # Monotonic times count from the start of the rig.
+                fields[name + "_ms"] = (value - self.origin) / ms(1)
+            else:
+                fields[name] = value
+        self.transcript.append(msgspec.json.encode(fields))
+
     def _send(self, action: SendAttempt) -> None:
         self.sent.append(action)
         service = action.upstream.service
--- /dev/null
+++ b/tests/core/test_forwarding_golden.py
@@ -0,0 +1,123 @@
+"""Replays whole forwarding sessions and compares every message with golden files."""
+
+import os
+import unittest
+from pathlib import Path
+
+from celeryferry_core.forwarding.outcomes import (
+    Merged,
+    NotRunResult,
+    Relayed,
+    UnknownResult,
+)
+from tests.core.forwarding_rig import (
+    ForwardingRig,
+    answer_all,
+    fail,
+    lose,
+    make_sharded_rule,
+    make_single_rule,
+    make_upstream,
+    ms,
+    refuse,
+    succeed,
+)
+
+GOLDEN = Path(__file__).parent.parent / "golden"
+
+
+def straggle_first(action, count):
+    """Answer the first attempt at one shard late."""
+    is_late = action.upstream.service == "s2" and count == 1
+    return (150.0 if is_late else 10.0), succeed(action)
+
+
+def shed_own_domain(action, count):
+    """Refuse everything in the own failure domain."""
+    if action.upstream.failure_domain == "a":
+        return 2.0, refuse(action)
+    return answer_all(action, count)
+
+
+def stay_silent(action, count):
+    """Never answer for one shard."""
+    return None if action.upstream.service == "s3" else answer_all(action, count)
+
+
+def fail_first(action, count):
+    """Fail the first attempt of a request to one service."""
+    return 8.0, (fail(action) if count == 1 else succeed(action, b"body"))
+
+
+class TestGoldenForwarding(unittest.TestCase):
+    """Guards against unnoticed changes of messages, choices or their order."""
+
+    def _compare(self, name: str, rig: ForwardingRig) -> None:
+        path = GOLDEN / f"forward_{name}.jsonl"
+        lines = b"\n".join(rig.transcript) + b"\n"
+        if os.environ.get("CELERYFERRY_WRITE_GOLDEN") == "1":
+            path.write_bytes(lines)
+        self.assertEqual(path.read_bytes(), lines)
+
+    def test_every_shard_answers(self):
+        """Guards the plain way of a request over four shards."""
+        rig = ForwardingRig()
+        result = rig.run(make_sharded_rule())
+        self._compare("plain", rig)
+        self.assertEqual(result.missing_count, 0)
+
+    def test_straggler_is_hedged(self):
+        """Guards the time of a hedge and the end of the attempt it beats."""
+        rig = ForwardingRig(straggle_first)
+        result = rig.run(make_sharded_rule())
+        self._compare("hedged", rig)
+        self.assertEqual(result.missing_count, 0)
+        self.assertLess(rig.elapsed, ms(150))
+
+    def test_own_domain_sheds_load(self):
+        """Guards the retries after refusals."""
+        rig = ForwardingRig(shed_own_domain)
+        result = rig.run(make_sharded_rule())
+        self._compare("shed", rig)
+        self.assertEqual(result.missing_count, 0)
+
+    def test_silent_shard_is_left_out(self):
+        """Guards the time at which an incomplete answer is given."""
+        rig = ForwardingRig(stay_silent)
+        result = rig.run(make_sharded_rule())
+        self._compare("incomplete", rig)
+        self.assertIsInstance(result, Merged)
+        self.assertEqual(result.missing_count, 1)
+
+    def test_cold_shards_are_waited_for_and_refused(self):
+        """Guards against a send before it is known that enough shards can follow."""
+        rig = ForwardingRig(domains="a")
+        rig.warmup.host_ids = ("host-2",)
+        for service in ("s0", "s1"):
+            cold = make_upstream(service, "a", cold_for=ms(5_000))
+            rig.registry.put(cold, rig.now)
+        result = rig.run(make_sharded_rule())
+        self._compare("cold", rig)
+        self.assertIsInstance(result, NotRunResult)
+
+    def test_failed_attempt_is_repeated(self):
+        """Guards the repetition of a request that may run more than once."""
+        rig = ForwardingRig(fail_first)
+        result = rig.run(make_single_rule())
+        self._compare("repeated", rig)
+        self.assertIsInstance(result, Relayed)
+
+    def test_lost_request_that_may_run_once(self):
+        """Guards against a repetition after a lost connection."""
+        rig = ForwardingRig(lambda a, _: (5.0, lose(a)))
+        result = rig.run(make_single_rule(is_repeatable=False))
+        self._compare("lost_once", rig)
+        self.assertIsInstance(result, UnknownResult)
+        self.assertEqual(len(rig.sent), 1)
+
+    def test_caller_leaves(self):
+        """Guards the cancelling of every open attempt."""
+        rig = ForwardingRig(lambda a, _: (400.0, succeed(a)))
+        rig.run(make_sharded_rule(), gone_ms=10)
+        self._compare("caller_gone", rig)
+        self.assertEqual(rig.cancelled, [0, 1, 2, 3])
