--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/budgets.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/budgets.py
@@ -1,7 +1,5 @@
 """This host's part of the work beyond first attempts, by service."""
 
-from celeryferry_core.budgets import TokenBucket
-
 # The fleet's bound holds in every window; hosts count their own windows, so part of it
 # is left unused for windows that overlap.
 USED_PART = 0.6
@@ -12,16 +10,22 @@
 class ExtraBudgets:
     """Bounds hedges and retries of every service.
 
+    Requests earn tokens and extra attempts spend them. A host starts without tokens:
+    the process before it may have spent its part of the same window, and all hosts
+    can start again at once.
+
     :param ratio: extra attempts allowed for each request.
     :param burst: extra attempts that the whole fleet may make at once.
+    :ivar host_count: hosts that share the burst; the present number holds for tokens
+        earned before too.
     """
 
-    __slots__ = ("_buckets", "_burst", "_ratio", "host_count")
+    __slots__ = ("_burst", "_ratio", "_tokens", "host_count")
 
     def __init__(self, ratio: float, burst: float) -> None:
         self._ratio = ratio
         self._burst = burst
-        self._buckets: dict[str, TokenBucket] = {}
+        self._tokens: dict[str, float] = {}
         self.host_count = MIN_HOSTS
 
     def count_request(self, service: str) -> None:
@@ -29,7 +33,8 @@
 
         :param service: name of the service.
         """
-        self._bucket(service).earn(self._ratio * USED_PART)
+        earned = self._tokens.get(service, 0.0) + self._ratio * USED_PART
+        self._tokens[service] = min(self._bound_tokens(), earned)
 
     def take(self, service: str) -> bool:
         """Spend one extra attempt.
@@ -37,7 +42,11 @@
         :param service: name of the service.
         :returns: False if the budget is used up.
         """
-        return self._bucket(service).take()
+        tokens = min(self._bound_tokens(), self._tokens.get(service, 0.0))
+        if tokens < 1.0:
+            return False
+        self._tokens[service] = tokens - 1.0
+        return True
 
     def replace_bounds(self, ratio: float, burst: float) -> None:
         """Take over changed bounds.
@@ -45,14 +54,8 @@
         :param ratio: extra attempts allowed for each request.
         :param burst: extra attempts that the whole fleet may make at once.
         """
-        if (ratio, burst) != (self._ratio, self._burst):
-            self._ratio, self._burst = ratio, burst
-            self._buckets.clear()
-
-    def _bucket(self, service: str) -> TokenBucket:
-        bucket = self._buckets.get(service)
-        if bucket is None:
-            hosts = max(self.host_count, MIN_HOSTS)
-            burst = max(1.0, self._burst * USED_PART / hosts)
-            bucket = self._buckets[service] = TokenBucket(burst, burst)
-        return bucket
+        self._ratio, self._burst = ratio, burst
+
+    def _bound_tokens(self) -> float:
+        hosts = max(self.host_count, MIN_HOSTS)
+        return max(1.0, self._burst * USED_PART / hosts)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/settings.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/settings.py
@@ -26,6 +26,8 @@
     :param extra_burst: hedges and retries of the fleet beyond that.
     :param cold_excess: factor on the rate that a cold upstream states.
     :param cold_tolerance: requests a second that it bears beyond that.
+    :param contact_time: time after a disturbance of the store or the network by which
+        this host must know the present state again.
     :param stop_time: time from the stop signal until the process is killed.
     :param max_entry_hosts_validity: longest time that an entry hosts answer is kept.
     :param max_descriptors: file descriptors that the process may use.
@@ -43,6 +45,7 @@
     extra_burst: float
     cold_excess: float
     cold_tolerance: float
+    contact_time: timedelta
     stop_time: timedelta
     max_entry_hosts_validity: timedelta
     max_descriptors: int
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/__main__.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/__main__.py
@@ -14,7 +14,7 @@
 )
 from celeryferry_daemon.platform import wire
 from celeryferry_daemon.platform.boot import load_settings
-from celeryferry_daemon.platform.sources import list_sources
+from celeryferry_daemon.platform.sources import StoreSource
 from celeryferry_daemon.platform.store import StoreClient
 
 
@@ -23,10 +23,11 @@
 
     :param settings: checked settings.
     """
-    client = StoreClient(settings.store_address)
-    sources = list_sources(client)
+    client = StoreClient(settings.store_address, settings.contact_time)
     try:
-        await ForwardingDaemon(settings, sources, wire, load_settings).run()
+        await ForwardingDaemon(
+            settings, [StoreSource(client)], wire, load_settings
+        ).run()
     finally:
         await client.close()
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/boot.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/boot.py
@@ -27,6 +27,9 @@
     retry_burst: float = 50.0
     warmup_excess: float = 1.0
     warmup_tolerance: float = 0.0
+    # Time after a disturbance of the store or the network, after which the bounds of
+    # the platform hold again.
+    contact_ms: float = 4000.0
     # Time from SIGTERM to SIGKILL.
     grace_s: float = 6.0
     # Longest time for which an answer of the directory counts.
@@ -76,6 +79,7 @@
             extra_burst=parameters.retry_burst,
             cold_excess=parameters.warmup_excess,
             cold_tolerance=parameters.warmup_tolerance,
+            contact_time=timedelta(milliseconds=parameters.contact_ms),
             stop_time=timedelta(seconds=parameters.grace_s),
             max_entry_hosts_validity=timedelta(seconds=parameters.ttl_max_s),
             max_descriptors=boot.limits.max_fds,
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/sources.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/sources.py
@@ -1,6 +1,4 @@
-"""The two parts of the platform's store as sources of the daemon."""
-
-from collections.abc import Callable
+"""The platform's store as a source of the daemon."""
 
 from result import Err, Ok, Result
 
@@ -27,35 +25,27 @@
 )
 from celeryferry_daemon.platform.store import StoreClient
 
+# All hosts pay for every watch, so one watch covers upstreams and operators.
+ALL_KEYS = ""
+
 
-class StorePart:
-    """Items of the store under one prefix.
+class StoreSource:
+    """All items of the store.
 
     :param client: client of the store.
-    :param name: name of the source.
-    :param prefix: beginning of its keys.
-    :param decode: translates an item; returns None if it is of no interest.
     """
 
-    __slots__ = ("_client", "_prefix", "decode", "name")
+    __slots__ = ("_client", "name")
 
-    def __init__(
-        self,
-        client: StoreClient,
-        name: str,
-        prefix: str,
-        decode: Callable[[SourceItem], Change | None],
-    ) -> None:
+    def __init__(self, client: StoreClient) -> None:
         self._client = client
-        self._prefix = prefix
-        self.name = name
-        self.decode = decode
+        self.name = "store"
 
     async def read_all(
         self,
     ) -> Result[SourceChanges, SourceUnavailableError | HistoryGoneError]:
         """Read all items."""
-        return await self._client.read_all(self._prefix)
+        return await self._client.read_all(ALL_KEYS)
 
     async def watch(
         self, after_revision: int
@@ -64,18 +54,18 @@
 
         :param after_revision: revision up to which changes are known.
         """
-        return await self._client.watch(self._prefix, after_revision)
-
+        return await self._client.watch(ALL_KEYS, after_revision)
 
-def list_sources(client: StoreClient) -> list[StorePart]:
-    """Return all sources of a host.
+    def decode(self, item: SourceItem) -> Change | None:
+        """Translate an item of the store.
 
-    :param client: client of the store.
-    """
-    return [
-        StorePart(client, "upstreams", UPSTREAM_PREFIX, decode_upstream_item),
-        StorePart(client, "operators", OPERATOR_PREFIX, decode_operator_item),
-    ]
+        :param item: the item or its removal.
+        """
+        if item.key.startswith(UPSTREAM_PREFIX):
+            return decode_upstream_item(item)
+        if item.key.startswith(OPERATOR_PREFIX):
+            return decode_operator_item(item)
+        return None
 
 
 def decode_upstream_item(item: SourceItem) -> Change | None:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/store.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/store.py
@@ -18,9 +18,11 @@
 # The store answers in 4 ms, and in 240 ms while it is slow.
 READ_TIMEOUT = timedelta(seconds=1)
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
-# A watch whose connection is silent is noticed after this time, which must lie within
-# the time that the platform gives a host to get in touch again. Each watch is paid for.
-WATCH_WAIT = timedelta(seconds=4)
+# All watches of the fleet can turn silent at once, so no peer knows more. A silent
+# watch is noticed after both parts of the contact time; what is left is for reading
+# the state again, at 240 ms a call while the store is slow. Each watch is paid for.
+WATCH_PART = 0.6
+SILENCE_PART = 0.125
 HISTORY_GONE_STATUS = 410
 OK_STATUS = 200
 
@@ -52,12 +54,17 @@
     """Reads and watches the store.
 
     :param address: ``ip:port`` of the store.
+    :param contact_time: time after a disturbance by which the state must be known.
+    :ivar watch_wait: longest time for which the store holds a watch.
+    :ivar watch_timeout: time after which a silent watch is given up.
     """
 
-    __slots__ = ("_session", "_url")
+    __slots__ = ("_session", "_url", "watch_timeout", "watch_wait")
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, contact_time: timedelta) -> None:
         self._url = f"http://{address}"
+        self.watch_wait = contact_time * WATCH_PART
+        self.watch_timeout = self.watch_wait + contact_time * SILENCE_PART
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(keepalive_timeout=30.0),
             cookie_jar=aiohttp.DummyCookieJar(),
@@ -109,9 +116,9 @@
         params = {
             "path_prefix": prefix,
             "after": str(after_revision),
-            "wait_ms": str(WATCH_WAIT // timedelta(milliseconds=1)),
+            "wait_ms": str(self.watch_wait // timedelta(milliseconds=1)),
         }
-        answer = await self._get("/kv-watch", params, WATCH_WAIT + READ_TIMEOUT)
+        answer = await self._get("/kv-watch", params, self.watch_timeout)
         match answer:
             case Err(error):
                 return Err(error)
--- a/tests/core/test_forwarding_knowledge.py
+++ b/tests/core/test_forwarding_knowledge.py
@@ -4,6 +4,7 @@
 import unittest
 from datetime import timedelta
 
+from celeryferry_core.forwarding.budgets import ExtraBudgets
 from celeryferry_core.forwarding.hosts import (
     FORGET_TIMEOUT,
     MAX_PASSED_ON,
@@ -192,6 +193,41 @@
     return {f"10.0.0.{number}:80" for number in numbers}
 
 
+class TestExtraBudgets(unittest.TestCase):
+    """Guards the fleet's bound on hedges and retries in every window."""
+
+    RATIO = 0.2
+    BURST = 126.0
+    HOSTS = 18
+
+    def take_all(self, budgets: ExtraBudgets) -> int:
+        """Spend everything that a host has."""
+        return sum(budgets.take("s0") for _ in range(int(self.BURST)))
+
+    def test_restarted_fleet_has_spent_nothing_twice(self):
+        """Guards against a second full burst after all hosts were killed."""
+        fleet = [ExtraBudgets(self.RATIO, self.BURST) for _ in range(self.HOSTS)]
+        self.assertEqual(sum(map(self.take_all, fleet)), 0)
+
+    def test_part_of_a_host_follows_the_number_of_hosts(self):
+        """Guards against the large part of a host that knew of few others."""
+        fleet = [ExtraBudgets(self.RATIO, self.BURST) for _ in range(self.HOSTS)]
+        for budgets in fleet:
+            for _ in range(1000):
+                budgets.count_request("s0")
+            budgets.host_count = self.HOSTS
+        self.assertLessEqual(sum(map(self.take_all, fleet)), self.BURST)
+
+    def test_requests_earn_their_part(self):
+        """Guards against a budget that never fills."""
+        budgets = ExtraBudgets(self.RATIO, self.BURST)
+        for _ in range(100):
+            budgets.count_request("s0")
+        taken = self.take_all(budgets)
+        self.assertGreater(taken, 0)
+        self.assertLessEqual(taken, 100 * self.RATIO)
+
+
 class TestRules(unittest.TestCase):
     """Guards the rule and the service of a request."""
 
--- a/tests/daemon/test_forwarding_sources.py
+++ b/tests/daemon/test_forwarding_sources.py
@@ -47,6 +47,7 @@
         "extra_burst": 100.0,
         "cold_excess": 1.5,
         "cold_tolerance": 5.0,
+        "contact_time": timedelta(seconds=4),
         "stop_time": timedelta(seconds=6),
         "max_entry_hosts_validity": timedelta(seconds=5),
         "max_descriptors": 1000,
