--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/budgets.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/budgets.py
@@ -3,6 +3,10 @@
 # The fleet's bound holds in every window; hosts count their own windows, so part of it
 # is left unused for windows that overlap.
 USED_PART = 0.6
+# Retries that a host may make for each service before requests have earned any. The
+# process before may have spent its part of the same window, and all hosts can start
+# again at once: for 18 hosts this is a seventh of the burst of today's fleets.
+START_TOKENS = 1.0
 # With fewer hosts known, a host that has just started would take too large a part.
 MIN_HOSTS = 4
 
@@ -10,9 +14,7 @@
 class ExtraBudgets:
     """Bounds hedges and retries of every service.
 
-    Requests earn tokens and extra attempts spend them. A host starts without tokens:
-    the process before it may have spent its part of the same window, and all hosts
-    can start again at once.
+    Requests earn tokens and extra attempts spend them.
 
     :param ratio: extra attempts allowed for each request.
     :param burst: extra attempts that the whole fleet may make at once.
@@ -33,7 +35,7 @@
 
         :param service: name of the service.
         """
-        earned = self._tokens.get(service, 0.0) + self._ratio * USED_PART
+        earned = self._tokens.get(service, START_TOKENS) + self._ratio * USED_PART
         self._tokens[service] = min(self._bound_tokens(), earned)
 
     def take(self, service: str) -> bool:
@@ -42,7 +44,7 @@
         :param service: name of the service.
         :returns: False if the budget is used up.
         """
-        tokens = min(self._bound_tokens(), self._tokens.get(service, 0.0))
+        tokens = min(self._bound_tokens(), self._tokens.get(service, START_TOKENS))
         if tokens < 1.0:
             return False
         self._tokens[service] = tokens - 1.0
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
@@ -16,6 +16,7 @@
 from celeryferry_core.forwarding.hosts import HostBeat, HostTable, choose_entry_hosts
 from celeryferry_daemon._internal.clock import SystemClock
 from celeryferry_daemon._internal.forwarding.callers import CallersHandler
+from celeryferry_daemon._internal.forwarding.draining import DrainWatch
 from celeryferry_daemon._internal.forwarding.follower import SourceFollower
 from celeryferry_daemon._internal.forwarding.listener import start_callers_listener
 from celeryferry_daemon._internal.forwarding.log_lines import LogLines
@@ -33,10 +34,6 @@
 
 # Callers keep the answer for this long; a host that is gone is named a little longer.
 ENTRY_HOSTS_VALIDITY = timedelta(seconds=2)
-# Part of the stop time in which new requests are still taken, for callers that keep an
-# answer longer than they should; the rest is for requests that are running.
-ACCEPT_PART = 0.6
-FINISH_PART = 0.9
 POLL_INTERVAL = timedelta(milliseconds=50)
 HOUSEKEEPING_INTERVAL = timedelta(milliseconds=250)
 RELOAD_INTERVAL = timedelta(seconds=2)
@@ -206,17 +203,19 @@
                 self._log.write("settings_rejected", cause=cause, reason=str(error))
 
     async def _drain(self) -> None:
-        stop_time = self.settings.stop_time
-        begun = self._clock.monotonic()
+        now = self._clock.monotonic()
+        watch = DrainWatch(now, self.settings.stop_time)
         self._log.write("stopping", running_count=self._callers.running_count)
         self._callers.is_leaving = True
         self._peers.announce_leaving()
-        await asyncio.sleep((stop_time * ACCEPT_PART).total_seconds())
+        await asyncio.sleep((watch.closes_at - now).total_seconds())
         for runner in self._runners:
             for site in list(runner.sites):
                 await site.stop()
-        while self._clock.monotonic() - begun < stop_time * FINISH_PART:
-            if not self._callers.running_count:
+        # The bound on the stop depends on the clock, not only on the requests.
+        while True:
+            now = self._clock.monotonic()
+            if watch.may_end(self._callers.running_count, now):
                 break
             await asyncio.sleep(POLL_INTERVAL.total_seconds())
         self._log.write("stopped", running_count=self._callers.running_count)
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/draining.py
@@ -0,0 +1,41 @@
+"""When a stopping host closes its listeners and when its process may end."""
+
+from datetime import timedelta
+
+# Part of the stop time in which new requests are still taken, for callers that keep an
+# answer longer than they should; the rest is for requests that are running.
+ACCEPT_PART = 0.6
+FINISH_PART = 0.9
+# A request on a connection that was accepted just before the listener closed is read
+# within this time.
+QUIET_TIME = timedelta(milliseconds=250)
+
+
+class DrainWatch:
+    """Decides when the process of a stopping host may end.
+
+    :param begun: monotonic time of the stop signal.
+    :param stop_time: time from the stop signal until the process is killed.
+    """
+
+    __slots__ = ("_latest", "_quiet_since", "closes_at")
+
+    def __init__(self, begun: timedelta, stop_time: timedelta) -> None:
+        self.closes_at = begun + stop_time * ACCEPT_PART
+        self._latest = begun + stop_time * FINISH_PART
+        self._quiet_since: timedelta | None = None
+
+    def may_end(self, running_count: int, now: timedelta) -> bool:
+        """Tell whether the process may end, once the listeners are closed.
+
+        :param running_count: requests without an answer.
+        :param now: present monotonic time.
+        """
+        if now >= self._latest:
+            return True
+        if running_count:
+            self._quiet_since = None
+            return False
+        if self._quiet_since is None:
+            self._quiet_since = now
+        return now - self._quiet_since >= QUIET_TIME
