--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/attempts.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/attempts.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+from celeryferry_core.forwarding.health import UpstreamHealth
 from celeryferry_core.forwarding.models import Upstream
 from celeryferry_core.forwarding.outcomes import AttemptOutcome, Refused, Succeeded
 
@@ -65,6 +66,8 @@
     :param shard: shard that it is for.
     :param upstream: where it goes.
     :param reason: why the upstream was chosen.
+    :param health: observations of the upstream; the attempt ends on these even if the
+        upstream was forgotten and listed again meanwhile.
     :ivar sent_at: monotonic time at which it was handed to the connection.
     :ivar ended_at: monotonic time of the outcome, None while it is open.
     :ivar outcome: its outcome, None while it is open.
@@ -74,6 +77,7 @@
     __slots__ = (
         "attempt_id",
         "ended_at",
+        "health",
         "is_overdue",
         "outcome",
         "reason",
@@ -83,12 +87,18 @@
     )
 
     def __init__(
-        self, attempt_id: int, shard: ShardState, upstream: Upstream, reason: str
+        self,
+        attempt_id: int,
+        shard: ShardState,
+        upstream: Upstream,
+        reason: str,
+        health: UpstreamHealth,
     ) -> None:
         self.attempt_id = attempt_id
         self.shard = shard
         self.upstream = upstream
         self.reason = reason
+        self.health = health
         self.sent_at = timedelta(0)
         self.ended_at: timedelta | None = None
         self.outcome: AttemptOutcome | None = None
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/learning.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/learning.py
@@ -4,7 +4,6 @@
 
 from celeryferry_core.forwarding.attempts import Attempt
 from celeryferry_core.forwarding.events import AttemptEnded
-from celeryferry_core.forwarding.health import UpstreamHealth
 from celeryferry_core.forwarding.outcomes import (
     Failed,
     LossReason,
@@ -19,52 +18,48 @@
 
 
 def learn_outcome(
-    health: UpstreamHealth,
-    times: RuleTimes,
-    attempt: Attempt,
-    event: AttemptEnded,
-    now: timedelta,
+    times: RuleTimes, attempt: Attempt, event: AttemptEnded, now: timedelta
 ) -> None:
     """Update the observations of an upstream with an ended attempt.
 
     An attempt that ends because its time is up says that the upstream is down only if
     that time was long; otherwise the caller was impatient.
 
-    :param health: observations of the upstream.
     :param times: attempt times of the rule.
     :param attempt: the attempt.
     :param event: its end.
     :param now: present monotonic time.
     """
+    health = attempt.health
     health.in_flight -= 1
     health.overdue_count -= attempt.is_overdue
     if event.reported_load is not None:
-        health.reported_load = max(0, event.reported_load - 1 - health.in_flight)
+        others = max(0, event.reported_load - 1 - health.in_flight)
+        health.record_load(others, now)
     elapsed = now - attempt.sent_at
     match event.outcome:
         case Succeeded():
-            health.record_success(times.relate(elapsed))
+            health.record_success(times.relate(elapsed), now)
             times.record(elapsed)
         case Refused(RefusalReason.UPSTREAM_REFUSED):
-            health.record_refusal()
+            health.record_refusal(now)
         case Lost(LossReason.CANCELLED):
-            health.record_slow(times.relate(elapsed))
+            health.record_slow(times.relate(elapsed), now)
         case Lost(LossReason.TIMEOUT) if elapsed < times.overdue_delay:
-            health.record_slow(times.relate(elapsed))
+            health.record_slow(times.relate(elapsed), now)
         case Failed(response) if response.status == GATEWAY_TIMEOUT:
-            health.record_slow(times.relate(elapsed))
+            health.record_slow(times.relate(elapsed), now)
         case _:
             health.record_failure(now)
 
 
-def note_overdue(health: UpstreamHealth, attempt: Attempt) -> None:
+def note_overdue(attempt: Attempt) -> None:
     """Count an open attempt that takes much longer than usual.
 
     A silent upstream is then avoided before the first attempt reaches its deadline.
 
-    :param health: observations of the upstream.
     :param attempt: the attempt.
     """
     if attempt.is_open and not attempt.is_overdue:
         attempt.is_overdue = True
-        health.overdue_count += 1
+        attempt.health.overdue_count += 1
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/selection.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/selection.py
@@ -110,7 +110,7 @@
             if health.suspected_until <= now:
                 sound.append(upstream)
         if sound:
-            return self._choose_sound(sound)
+            return self._choose_sound(sound, now)
         return self._choose_cold(usable, now) or self._choose_suspected(warm)
 
     def is_reachable(self, service: str) -> bool:
@@ -144,16 +144,16 @@
         domains_out = self._registry.domains_out
         return not upstream.is_draining and upstream.failure_domain not in domains_out
 
-    def _choose_sound(self, sound: list[Upstream]) -> Selection:
+    def _choose_sound(self, sound: list[Upstream], now: timedelta) -> Selection:
         local = [u for u in sound if u.failure_domain == self._own_domain]
         remote = [u for u in sound if u.failure_domain != self._own_domain]
         if not local:
-            return Selection(self._pick_of_two(remote), "remote")
-        first = self._pick_of_two(local)
+            return Selection(self._pick_of_two(remote, now), "remote")
+        first = self._pick_of_two(local, now)
         if not remote:
             return Selection(first, "own_domain")
-        second = self._pick_of_two(remote)
-        if self._expect(first) <= REMOTE_GAIN * self._expect(second):
+        second = self._pick_of_two(remote, now)
+        if self._expect(first, now) <= REMOTE_GAIN * self._expect(second, now):
             return Selection(first, "own_domain")
         return Selection(second, "own_domain_slow")
 
@@ -173,15 +173,15 @@
         best = min(warm, key=lambda u: self.health_of(u.instance_id).suspected_until)
         return Selection(best, "suspected")
 
-    def _pick_of_two(self, upstreams: list[Upstream]) -> Upstream:
+    def _pick_of_two(self, upstreams: list[Upstream], now: timedelta) -> Upstream:
         if len(upstreams) == 1:
             return upstreams[0]
         first = self._random.randrange(len(upstreams))
         second = self._random.randrange(len(upstreams) - 1)
         second += second >= first
-        if self._expect(upstreams[second]) < self._expect(upstreams[first]):
+        if self._expect(upstreams[second], now) < self._expect(upstreams[first], now):
             return upstreams[second]
         return upstreams[first]
 
-    def _expect(self, upstream: Upstream) -> float:
-        return self.health_of(upstream.instance_id).expect_cost(upstream.slots)
+    def _expect(self, upstream: Upstream, now: timedelta) -> float:
+        return self.health_of(upstream.instance_id).expect_cost(upstream.slots, now)
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/session.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/session.py
@@ -18,7 +18,6 @@
     SetTimer,
     TimerFired,
 )
-from celeryferry_core.forwarding.health import UpstreamHealth
 from celeryferry_core.forwarding.learning import learn_outcome, note_overdue
 from celeryferry_core.forwarding.models import ForwardingRule
 from celeryferry_core.forwarding.outcomes import (
@@ -181,8 +180,7 @@
         if not attempt.is_open:
             return
         attempt.end(event.outcome, now)
-        health = self._health_of(attempt)
-        learn_outcome(health, self._times, attempt, event, now)
+        learn_outcome(self._times, attempt, event, now)
         shard = attempt.shard
         shard.open_count -= 1
         if self.result is not None or shard.is_closed:
@@ -205,16 +203,13 @@
                 else:
                     shard.has_failed = True
 
-    def _health_of(self, attempt: Attempt) -> UpstreamHealth:
-        return self._knowledge.selector.health_of(attempt.upstream.instance_id)
-
     def _note_overdue(self, now: timedelta) -> None:
         delay = self._times.overdue_delay
         self._overdue_at = None
         for attempt in self.attempts:
             is_beaten = attempt.shard.success is not None
             if is_beaten or now >= attempt.sent_at + delay:
-                note_overdue(self._health_of(attempt), attempt)
+                note_overdue(attempt)
             elif attempt.is_open:
                 self._overdue_at = now + delay
 
@@ -320,7 +315,8 @@
 
     def _add_attempt(self, shard: ShardState, upstream: object, reason: str) -> None:
         attempt_id = len(self.attempts)
-        attempt = Attempt(attempt_id, shard, upstream, reason)
+        health = self._knowledge.selector.health_of(upstream.instance_id)
+        attempt = Attempt(attempt_id, shard, upstream, reason, health)
         self.attempts.append(attempt)
         shard.tried.add(upstream.instance_id)
         shard.open_count += 1
--- a/tests/core/test_forwarding.py
+++ b/tests/core/test_forwarding.py
@@ -425,6 +425,48 @@
         rig.run(rule)
         self.assertEqual(rig.sent[0].upstream.instance_id, "orders-a")
 
+    def test_attempt_that_outlives_its_upstream_leaves_no_debt(self):
+        """Guards against an upstream that seems idle once it is listed again."""
+        rig = ForwardingRig()
+        selector = rig.knowledge.selector
+
+        def script(action, _count):
+            selector.forget(action.upstream.instance_id)
+            return 5.0, succeed(action)
+
+        rig.script = script
+        rig.run(make_single_rule())
+        self.assertEqual(selector.health_of("orders-a").in_flight, 0)
+
+    def test_upstream_that_refused_once_gets_work_again(self):
+        """Guards against an upstream that stays avoided since it can't improve."""
+        rig = ForwardingRig(lambda a, _: (5.0, refuse(a)), domains="a")
+        for _ in range(5):
+            rig.run(make_single_rule(is_repeatable=False))
+        rig.registry.put(make_upstream("orders", "b"), rig.now)
+        rig.script = answer_all
+        rig.run(make_single_rule())
+        self.assertEqual(rig.sent[0].upstream.instance_id, "orders-b")
+        rig.now += timedelta(seconds=5)
+        rig.run(make_single_rule())
+        self.assertEqual(rig.sent[0].upstream.instance_id, "orders-a")
+
+    def test_old_report_of_load_keeps_no_work_away(self):
+        """Guards against a choice by a queue that has drained since."""
+
+        def script(action, _count):
+            ended = succeed(action)
+            return 5.0, AttemptEnded(ended.attempt_id, ended.outcome, reported_load=40)
+
+        rig = ForwardingRig(script)
+        rig.run(make_single_rule())
+        rig.script = answer_all
+        rig.run(make_single_rule())
+        self.assertNotEqual(rig.sent[0].upstream.instance_id, "orders-a")
+        rig.now += ms(150)
+        rig.run(make_single_rule())
+        self.assertEqual(rig.sent[0].upstream.instance_id, "orders-a")
+
     def test_connections_to_an_upstream_are_shared_by_the_hosts(self):
         """Guards against more connections than an upstream accepts."""
         rig = ForwardingRig()
