--- a/packages/celeryferry-cli/src/celeryferry_cli/_internal/commands/explain_log.py
+++ b/packages/celeryferry-cli/src/celeryferry_cli/_internal/commands/explain_log.py
@@ -11,13 +11,16 @@
 REQUEST_EVENTS = frozenset({"request_answered", "request_rejected", "caller_gone"})
 # Changes of what the host believed that are shown from before the request.
 MAX_CHANGES = 5
-_CAUSES = {
+CAUSES = {
     "complete": "answered in full",
     "partly_covered": "answered without the shards whose attempts are not ok below",
     "not_run_no_upstream": "not run: too few shards had an upstream that may be used",
     "not_run_upstream_refused": "not run: every upstream that was asked refused it",
     "not_run_other_instance": "not run: the addresses belong to other instances now",
     "not_run_connect_failed": "not run: no connection to an upstream was accepted",
+    "not_run_not_sent": "not run: the caller's time was up before it could be sent",
+    "not_run_no_configuration": "not run: this host knew no configuration yet",
+    "not_run_caller_gone": "not run any further: the caller closed its connection",
     "not_run_overloaded": "not run: this host had too many requests of that rule",
     "not_run_deadline": "not run: the caller's time was up when it arrived",
     "rejected_no_rule": "404: no rule has this host name and path in that version",
@@ -27,6 +30,7 @@
     "unknown_timeout": "no answer within the time of the caller or the rule",
     "unknown_connection_lost": "the connection broke after the request was sent",
     "unknown_bad_response": "the upstream sent bytes that are no valid answer",
+    "unknown_cancelled": "the attempt was ended by this host",
     "unknown_not_covered": "too few shards could be answered",
 }
 
@@ -109,9 +113,8 @@
     """
     outcome = entry.get("outcome", entry["event"])
     lines = [
-        f"{entry.get('time')}  rule {entry.get('rule')}, configuration version "
-        f"{entry.get('configuration_version')}, {entry.get('elapsed_ms')} ms",
-        f"outcome {outcome}: {_CAUSES.get(outcome, 'see the attempts')}",
+        f"{entry.get('time')}  {_describe_target(entry)}",
+        f"outcome {outcome}: {CAUSES.get(outcome, 'see the attempts')}",
     ]
     for text in _list_attempts(entry):
         service, upstream, reason, result, elapsed = text.split("/")
@@ -120,6 +123,19 @@
     return lines
 
 
+def _describe_target(entry: dict[str, Any]) -> str:
+    parts = []
+    if "rule" in entry:
+        parts.append(f"rule {entry['rule']}")
+    if "target" in entry:
+        parts.append(f"{entry.get('host')}{entry['target']}")
+    if "configuration_version" in entry:
+        parts.append(f"configuration version {entry['configuration_version']}")
+    if "elapsed_ms" in entry:
+        parts.append(f"{entry['elapsed_ms']} ms")
+    return ", ".join(parts)
+
+
 def _list_attempts(entry: dict[str, Any]) -> list[str]:
     return [text for text in entry.get("attempts", ()) if text.count("/") == 4]
 
--- a/tests/cli/test_explain_log.py
+++ b/tests/cli/test_explain_log.py
@@ -1,7 +1,11 @@
 """Tests of ``celeryferry explain ID --log FILE``."""
 
 import json
+import unittest
 
+from celeryferry_cli._internal.commands.explain_log import CAUSES
+from celeryferry_core.forwarding.outcomes import LossReason, RefusalReason
+from celeryferry_daemon._internal.forwarding.requests import Rejection
 from tests.cli.command_case import CommandCase
 
 
@@ -31,6 +35,14 @@
     write_line("source_lost", source="upstreams", reason="status 503"),
     write_line("request_answered", request_id="id-1", outcome="complete"),
     LOST,
+    write_line(
+        "request_rejected",
+        request_id="id-4",
+        outcome="rejected_no_rule",
+        host="a.example",
+        target="/old/1",
+        configuration_version=7,
+    ),
     write_line("source_back", source="upstreams"),
 ]
 
@@ -60,6 +72,14 @@
         self.assertNotIn("i-9", output)
         self.assertNotIn("source_back", output)
 
+    def test_rejected_request_is_explained(self):
+        """Guards against a client error without its cause."""
+        code, output = self.explain("id-4")
+        self.assertEqual(code, 0, output)
+        self.assertIn("no rule has this host name", output)
+        self.assertIn("a.example/old/1, configuration version 7", output)
+        self.assertNotIn("None", output)
+
     def test_json_holds_the_entries(self):
         """Guards programs that read the explanation."""
         found = json.loads(self.explain("id-2", "--json")[1])
@@ -82,3 +102,13 @@
         code, output = self.run_command("explain", "id-2")
         self.assertEqual(code, 2)
         self.assertIn("--log FILE", output)
+
+
+class TestCauses(unittest.TestCase):
+    """Guards against an outcome in the log that the command can't explain."""
+
+    def test_every_outcome_has_a_text(self):
+        outcomes = {f"rejected_{reason.value}" for reason in Rejection}
+        outcomes |= {f"not_run_{reason.value}" for reason in RefusalReason}
+        outcomes |= {f"unknown_{reason.value}" for reason in LossReason}
+        self.assertEqual(outcomes - set(CAUSES), set())
