Decode everything from outside to a value or a typed error

Cause: decoders caught only msgspec's own errors. An entry of another writer with deeply nested extra fields raised RecursionError and one with warmup_left_ms 1e300 raised OverflowError in the task that follows the store; the task was restarted, read the same entry and ended again. Ports of 99999 and of a superscript two were accepted and failed when a connection was opened. An instance id with a line break would have ended the request head. A Keep-Alive timeout of a superscript two ended the task of an attempt. X-Deadline-Ms: 0 got the default of 30 s.

Ruled out: catching everything in the follower alone; it would hide which item is at fault and would leave the other readers as they were.

Change: one JSON decoder that returns every failure as a value, one place for addresses, ranges on all numbers of entries, configurations and settings. A rejected entry is logged and counted once while it stays invalid. A failure that nobody foresaw costs the item, not the follower. Bodies of the store are bounded.

--- a/packages/celeryferry-cli/src/celeryferry_cli/_internal/client.py
+++ b/packages/celeryferry-cli/src/celeryferry_cli/_internal/client.py
@@ -220,7 +220,7 @@
         if status in (200, 202):
             return Ok(msgspec.json.decode(content, type=answer_type))
         error = msgspec.json.decode(content, type=ErrorAnswer).error
-    except msgspec.DecodeError as decode_error:
+    except (msgspec.DecodeError, RecursionError) as decode_error:
         if status in REJECTED_STATUSES:
             detail = _explain_rejection(status, content, has_token)
             return _build_failure(
--- a/packages/celeryferry-cli/src/celeryferry_cli/_internal/commands/explain_log.py
+++ b/packages/celeryferry-cli/src/celeryferry_cli/_internal/commands/explain_log.py
@@ -80,7 +80,7 @@
             continue
         try:
             entry = msgspec.json.decode(line[start:])
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, RecursionError):
             continue
         if isinstance(entry, dict) and "event" in entry:
             entries.append(entry)
--- a/packages/celeryferry-cli/src/celeryferry_cli/_internal/options.py
+++ b/packages/celeryferry-cli/src/celeryferry_cli/_internal/options.py
@@ -7,7 +7,7 @@
 import msgspec
 from fire import decorators
 
-from celeryferry_core.table_reader import is_address
+from celeryferry_core.addresses import is_address
 
 # Fire lists every public attribute of a command in its help. The attribute in which it
 # stores the parsers has a public name by default, so it gets a private one here.
@@ -78,6 +78,6 @@
     """Parse a JSON value; text that is not valid JSON becomes a JSON string."""
     try:
         msgspec.json.decode(text)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return msgspec.Raw(msgspec.json.encode(text))
     return msgspec.Raw(text.encode())
--- a/packages/celeryferry-core/src/celeryferry_core/partial_answers.py
+++ b/packages/celeryferry-core/src/celeryferry_core/partial_answers.py
@@ -61,7 +61,7 @@
     """
     try:
         return Ok(_HITS_DECODER.decode(raw))
-    except msgspec.MsgspecError as error:
+    except (ValueError, RecursionError) as error:
         return Err(str(error))
 
 
--- a/packages/celeryferry-core/src/celeryferry_core/table_reader.py
+++ b/packages/celeryferry-core/src/celeryferry_core/table_reader.py
@@ -1,14 +1,13 @@
 """Typed access to the fields of a TOML table; every invalid field is recorded."""
 
-import ipaddress
 import re
 from collections.abc import Iterable
 from typing import Any, Final
 
+from celeryferry_core.addresses import MAX_PORT, is_address
 from celeryferry_core.findings import Findings, format_value
 
 MAX_NAME_CHARACTERS = 63
-MAX_PORT = 65_535
 
 _NAME = re.compile(r"[a-z0-9](?:[a-z0-9_-]*[a-z0-9])?")
 _REQUIRED: Final = object()
@@ -19,23 +18,6 @@
 _ADDRESS_RULE = f"ip:port with a port from 1 to {MAX_PORT}, such as 127.0.0.1:9001"
 
 
-def is_address(value: str) -> bool:
-    """Return whether a string is a valid ``ip:port``.
-
-    IPv6 addresses are written in brackets. Host names, unspecified addresses such as
-    0.0.0.0 and ports with leading zeros are not valid.
-    """
-    ip_text, _, port = value.rpartition(":")
-    if not re.fullmatch(r"[1-9][0-9]{0,4}", port) or int(port) > MAX_PORT:
-        return False
-    bracketed = ip_text.startswith("[") and ip_text.endswith("]")
-    try:
-        ip = ipaddress.ip_address(ip_text[1:-1] if bracketed else ip_text)
-    except ValueError:
-        return False
-    return bracketed == (ip.version == 6) and not ip.is_unspecified
-
-
 class TableReader:
     """Reads and checks the fields of one table and records every error.
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/bodies.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/bodies.py
@@ -1,8 +1,10 @@
-"""Headers and body type that requests to upstreams and to other daemons share."""
+"""Bodies of requests and responses between processes."""
 
 import aiohttp
 from aiohttp.abc import AbstractStreamWriter
 
+from celeryferry_core.exceptions import CeleryferryError
+
 # Headers that aiohttp must not add to a request. Compressed responses are not accepted,
 # because a decompressed response could exceed the size limit.
 SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
@@ -31,3 +33,24 @@
         """
         self.is_sent = True
         await super().write_with_length(writer, content_length)
+
+
+class BodyTooLargeError(CeleryferryError, ValueError):
+    """The body of a response is larger than its reader accepts."""
+
+
+async def read_bounded(response: aiohttp.ClientResponse, limit_bytes: int) -> bytes:
+    """Read a body of limited size.
+
+    :param response: response whose body has not been read.
+    :param limit_bytes: largest accepted size.
+    :raises BodyTooLargeError: if the body is larger; the rest is not read.
+    """
+    chunks = []
+    size_bytes = 0
+    async for chunk in response.content.iter_any():
+        size_bytes += len(chunk)
+        if size_bytes > limit_bytes:
+            raise BodyTooLargeError(f"the answer is larger than {limit_bytes} bytes")
+        chunks.append(chunk)
+    return b"".join(chunks)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/configuration/service.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/configuration/service.py
@@ -7,7 +7,8 @@
 from result import Err, Ok, Result
 
 from celeryferry_core.models.messages import DocumentText
-from celeryferry_daemon._internal.peers.failures import CALL_ERRORS, read_bounded
+from celeryferry_daemon._internal.bodies import read_bounded
+from celeryferry_daemon._internal.peers.failures import CALL_ERRORS
 
 READ_TIMEOUT = timedelta(seconds=1)
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
@@ -13,6 +13,7 @@
 from multidict import CIMultiDict
 from result import Err, Ok, Result
 
+from celeryferry_core.addresses import split_address
 from celeryferry_core.forwarding.hosts import (
     HostHeartbeat,
     HostTable,
@@ -167,8 +168,8 @@
         self, runner: web.AppRunner | web.ServerRunner, address: str
     ) -> None:
         await runner.setup()
-        ip, _, port = address.rpartition(":")
-        site = web.TCPSite(runner, ip, int(port), backlog=LISTEN_BACKLOG)
+        ip, port = split_address(address)
+        site = web.TCPSite(runner, ip, port, backlog=LISTEN_BACKLOG)
         await site.start()
         self._runners.append(runner)
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/callers.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/callers.py
@@ -38,7 +38,7 @@
 
 # Limit on concurrent requests of one host. Each needs about 30 KB and some connections.
 MAX_RUNNING_REQUESTS = 400
-# Applies to requests that do not state how long the caller will wait, or state 0 ms.
+# Applies to requests that do not state how long the caller will wait.
 DEFAULT_REQUEST_TIMEOUT = timedelta(seconds=30)
 # A starting host receives its configuration soon, so callers may retry early.
 UNCONFIGURED_RETRY_AFTER = timedelta(milliseconds=200)
@@ -120,7 +120,9 @@
         rule = self._state.rules.find(request.headers.get("Host", ""), target)
         if rule is None:
             return self._reject(request, request_id, Rejection.NO_RULE)
-        time_left = self._wire.read_time_left(headers) or DEFAULT_REQUEST_TIMEOUT
+        time_left = self._wire.read_time_left(headers)
+        if time_left is None:
+            time_left = DEFAULT_REQUEST_TIMEOUT
         match await read_bounded_body(request, bounds, time_left):
             case Err(rejection):
                 return self._reject(request, request_id, rejection)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
@@ -35,6 +35,7 @@
     :param log: receives a line when the source becomes unavailable or available again.
     :ivar revision: revision up to which all changes are known, 0 if nothing was read.
     :ivar latest_item_revision: highest revision of any item received so far.
+    :ivar failed_item_count: items whose handling failed unexpectedly.
     :ivar is_unavailable: whether no call has succeeded since the latest failure.
     """
 
@@ -47,6 +48,7 @@
         "_log",
         "_random",
         "_state",
+        "failed_item_count",
         "is_unavailable",
         "latest_item_revision",
         "revision",
@@ -71,6 +73,7 @@
         self._failures = 0
         self._behind_since: timedelta | None = None
         self.is_unavailable = False
+        self.failed_item_count = 0
         self.revision = 0
         self.latest_item_revision = 0
 
@@ -187,9 +190,21 @@
         else:
             self._items[item.key] = item
         self.latest_item_revision = max(self.latest_item_revision, item.revision)
-        change = self.source.decode(item)
-        if change is not None:
-            self._state.apply(change, now, is_confirmed)
+        try:
+            change = self.source.decode(item)
+            if change is not None:
+                self._state.apply(change, now, is_confirmed)
+        except Exception as error:
+            # A fault in the handling of one item must not keep this host from the
+            # changes of the others.
+            self.failed_item_count += 1
+            self._log.write(
+                "item_failed",
+                source=self.source.name,
+                key=item.key,
+                revision=item.revision,
+                reason=repr(error),
+            )
 
     def _record_failure(self, reason: str) -> None:
         self._failures += 1
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/listener.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/listener.py
@@ -7,6 +7,7 @@
 from aiohttp.http import RawRequestMessage
 from aiohttp.streams import StreamReader
 
+from celeryferry_core.addresses import split_address
 from celeryferry_core.forwarding.models import CallerBounds
 from celeryferry_daemon._internal.bounded_site import BoundedSite, ListenerBounds
 from celeryferry_daemon._internal.forwarding.callers import CallersHandler
@@ -96,6 +97,6 @@
     server = CallersServer(handler, state)
     runner = web.ServerRunner(server)
     await runner.setup()
-    ip, _, port = address.rpartition(":")
-    await BoundedSite(runner, ip, int(port), server.read_listener_bounds).start()
+    ip, port = split_address(address)
+    await BoundedSite(runner, ip, port, server.read_listener_bounds).start()
     return runner
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
@@ -204,7 +204,7 @@
     def _handle_message(self, body: bytes, address: str | None) -> None:
         try:
             message = _HEARTBEATS_DECODER.decode(body)
-        except msgspec.MsgspecError as error:
+        except (ValueError, RecursionError) as error:
             self._log.write("peer_message_rejected", peer=address, reason=str(error))
             return
         heartbeats = [
@@ -235,7 +235,7 @@
             return
         try:
             contents = _CONTENTS_DECODER.decode(body)
-        except msgspec.MsgspecError as error:
+        except (ValueError, RecursionError) as error:
             self._log.write("peer_message_rejected", peer=address, reason=str(error))
             return
         changes = SourceChanges(tuple(contents.items), contents.revision)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/pool.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/pool.py
@@ -1,10 +1,12 @@
 """Pool of keep-alive connections to the upstreams."""
 
 import asyncio
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
+from celeryferry_core.addresses import split_address
 from celeryferry_core.environment import Clock
 from celeryferry_core.forwarding.models import Upstream
 from celeryferry_core.forwarding.outcomes import LossReason, Lost, Refused
@@ -30,6 +32,8 @@
 # A request that must not be repeated is sent only on a connection that was idle for
 # less than this time, since the upstream may be closing an older one.
 MAX_IDLE_TIME_UNREPEATABLE = timedelta(milliseconds=500)
+# A longer timeout has more digits than a real one and is ignored.
+_KEEP_ALIVE_TIMEOUT_S = re.compile(r"timeout\s*=\s*([0-9]{1,6})", re.IGNORECASE)
 
 
 @dataclass(slots=True)
@@ -120,14 +124,14 @@
         return max(0.0, (deadline - self._clock.monotonic()).total_seconds())
 
     async def _open(self, upstream: Upstream) -> UpstreamConnection | None:
-        ip, _, port = upstream.address.rpartition(":")
+        ip, port = split_address(upstream.address)
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
                 _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(self._forget_closed), ip, int(port)
+                    lambda: UpstreamConnection(self._forget_closed), ip, port
                 )
-        except (OSError, ValueError, TimeoutError):
+        except (OSError, ValueError, OverflowError, TimeoutError):
             return None
         self.opened_count += 1
         self._busy.add(connection)
@@ -205,9 +209,9 @@
     """
     value = None if response is None else response.get_header("keep-alive")
     for parameter in (value or "").split(","):
-        name, _, number = parameter.strip().partition("=")
-        if name.lower() == "timeout" and number.strip().isdigit():
+        timeout = _KEEP_ALIVE_TIMEOUT_S.fullmatch(parameter.strip())
+        if timeout is not None:
             return min(
-                MAX_IDLE_TIME, timedelta(seconds=int(number)) - KEEP_ALIVE_MARGIN
+                MAX_IDLE_TIME, timedelta(seconds=int(timeout[1])) - KEEP_ALIVE_MARGIN
             )
     return MAX_IDLE_TIME
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/ports.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/ports.py
@@ -62,24 +62,44 @@
 
 
 class UpstreamListed(msgspec.Struct, frozen=True, gc=False):
-    """The item of an upstream was added or changed."""
+    """The item of an upstream was added or changed.
 
+    :param key: key of the item.
+    """
+
+    key: str
     upstream: Upstream
 
 
 class UpstreamUnlisted(msgspec.Struct, frozen=True, gc=False):
-    """The item of an upstream was removed, or can't be used.
+    """The item of an upstream was removed.
+
+    :param key: key of the item.
+    """
+
+    key: str
+    instance_id: str
 
-    :param is_removed: False if the item exists but is invalid.
+
+class UpstreamRejected(msgspec.Struct, frozen=True, gc=False):
+    """The item of an upstream is invalid; it names no upstream that can be used.
+
+    :param key: key of the item.
+    :param reason: what is wrong with the item, for the log.
     """
 
+    key: str
     instance_id: str
-    is_removed: bool
+    reason: str
 
 
 class ConfigurationPublished(msgspec.Struct, frozen=True, gc=False):
-    """Operators published a configuration."""
+    """Operators published a configuration.
+
+    :param key: key of the item.
+    """
 
+    key: str
     configuration: ForwardingConfiguration
 
 
@@ -108,6 +128,7 @@
 Change = (
     UpstreamListed
     | UpstreamUnlisted
+    | UpstreamRejected
     | ConfigurationPublished
     | DomainEvacuated
     | DomainRestored
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/settings.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/settings.py
@@ -38,6 +38,8 @@
     :param max_entry_hosts_validity: longest time that a caller may keep the addresses
         of entry hosts.
     :param max_descriptors: file descriptors that the process may use.
+    :param processor_share: processor time that this host gives the process, in seconds
+        of an ordinary core per second.
     """
 
     host_id: str
@@ -56,3 +58,4 @@
     stop_time: timedelta
     max_entry_hosts_validity: timedelta
     max_descriptors: int
+    processor_share: float = 1.0
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
@@ -23,6 +23,7 @@
     DomainRestored,
     ItemRejected,
     UpstreamListed,
+    UpstreamRejected,
     UpstreamUnlisted,
 )
 from celeryferry_daemon._internal.forwarding.settings import ForwardingSettings
@@ -35,6 +36,8 @@
     :param log: receives one line per change.
     :ivar configuration: configuration in force, None until the first is received.
     :ivar rules: rules of the configuration in force.
+    :ivar rejected_count: invalid items so far, each counted once while it stays
+        invalid.
     :ivar registry: upstreams listed by the sources.
     :ivar session_context: data shared by all sessions: upstream selection, budgets and
         response times.
@@ -44,7 +47,9 @@
     __slots__ = (
         "_log",
         "_pool",
+        "_rejected_keys",
         "configuration",
+        "rejected_count",
         "session_context",
         "registry",
         "rules",
@@ -62,6 +67,8 @@
         self._log = log
         self.configuration: ForwardingConfiguration | None = None
         self.rules = RuleTable(())
+        self._rejected_keys: set[str] = set()
+        self.rejected_count = 0
         self.registry = UpstreamRegistry()
         self.warmup = WarmupLimits(
             settings.host_id, settings.cold_excess, settings.cold_tolerance
@@ -96,21 +103,27 @@
             did not just expire while the source was unavailable.
         """
         match change:
-            case UpstreamListed(upstream):
+            case UpstreamListed(key, upstream):
+                self._rejected_keys.discard(key)
                 if self.registry.put(upstream, now):
                     self._log.write("upstream_listed", upstream=upstream)
-            case UpstreamUnlisted(instance_id, is_removed):
-                skips_grace_period = is_confirmed or not is_removed
-                if self.registry.remove(instance_id, now, skips_grace_period):
+            case UpstreamUnlisted(key, instance_id):
+                self._rejected_keys.discard(key)
+                if self.registry.remove(instance_id, now, is_confirmed):
                     self._remove_upstream(instance_id)
-            case ConfigurationPublished(configuration):
+            case UpstreamRejected(key, instance_id, reason):
+                self._reject(key, reason)
+                if self.registry.remove(instance_id, now, is_confirmed=True):
+                    self._remove_upstream(instance_id)
+            case ConfigurationPublished(key, configuration):
+                self._rejected_keys.discard(key)
                 self._replace_configuration(configuration)
             case DomainEvacuated(failure_domain):
                 self._replace_domains_out(self.registry.domains_out | {failure_domain})
             case DomainRestored(failure_domain):
                 self._replace_domains_out(self.registry.domains_out - {failure_domain})
             case ItemRejected(key, reason):
-                self._log.write("item_rejected", key=key, reason=reason)
+                self._reject(key, reason)
 
     def drop_missing_upstreams(self, now: timedelta) -> None:
         """Remove upstreams whose entries did not return within the grace period.
@@ -120,6 +133,13 @@
         for instance_id in self.registry.drop_missing(now):
             self._remove_upstream(instance_id)
 
+    def _reject(self, key: str, reason: str) -> None:
+        """Log an invalid item once, until a valid value replaces it."""
+        if key not in self._rejected_keys:
+            self._rejected_keys.add(key)
+            self.rejected_count += 1
+            self._log.write("item_rejected", key=key, reason=reason)
+
     def _remove_upstream(self, instance_id: str) -> None:
         self._pool.close_idle(instance_id)
         self.session_context.selector.forget(instance_id)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/membership/host_list.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/membership/host_list.py
@@ -11,7 +11,8 @@
 from celeryferry_core.decisions.fleet import HostListFailed
 from celeryferry_core.models.topology import Host, HostState
 from celeryferry_core.ports import DecisionLog
-from celeryferry_daemon._internal.peers.failures import CALL_ERRORS, read_bounded
+from celeryferry_daemon._internal.bodies import read_bounded
+from celeryferry_daemon._internal.peers.failures import CALL_ERRORS
 
 READ_INTERVAL = timedelta(seconds=1)
 READ_TIMEOUT = timedelta(seconds=1)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/owner/replies.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/owner/replies.py
@@ -166,7 +166,7 @@
         """
         try:
             return self._read(status, headers, content, expected)
-        except msgspec.MsgspecError:
+        except (ValueError, RecursionError):
             return BAD_ANSWER
 
     def _read(
@@ -271,7 +271,7 @@
     """
     try:
         body = _HEALTH_DECODER.decode(content)
-    except msgspec.MsgspecError:
+    except (ValueError, RecursionError):
         return None
     state = _STATES.get(body.state)
     return state and Health(state, body.index_versions, is_restarted)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/peers/client.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/peers/client.py
@@ -25,11 +25,14 @@
     SubqueryBatch,
 )
 from celeryferry_core.models.topology import Host
-from celeryferry_daemon._internal.bodies import SKIPPED_HEADERS, TrackedBody
+from celeryferry_daemon._internal.bodies import (
+    SKIPPED_HEADERS,
+    TrackedBody,
+    read_bounded,
+)
 from celeryferry_daemon._internal.peers.exchange import Exchange, StatusError
 from celeryferry_daemon._internal.peers.failures import (
     CALL_ERRORS,
-    read_bounded,
 )
 from celeryferry_daemon._internal.peers.traffic import ControlTraffic
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/peers/failures.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/peers/failures.py
@@ -23,23 +23,6 @@
 )
 
 
-async def read_bounded(response: aiohttp.ClientResponse, limit_bytes: int) -> bytes:
-    """Read a body of limited size.
-
-    :param response: response whose body has not been read.
-    :param limit_bytes: largest accepted size.
-    :raises ValueError: if the body is larger; the rest is not read.
-    """
-    chunks = []
-    size_bytes = 0
-    async for chunk in response.content.iter_any():
-        size_bytes += len(chunk)
-        if size_bytes > limit_bytes:
-            raise ValueError(f"the answer is larger than {limit_bytes} bytes")
-        chunks.append(chunk)
-    return b"".join(chunks)
-
-
 def classify_status(host: Host, status: int) -> PeerFailure:
     """Classify an answer whose status is not 200."""
     is_rejected = status in REJECTED_STATUSES
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/boot.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/boot.py
@@ -6,16 +6,23 @@
 import os
 from datetime import timedelta
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 from result import Err, Ok, Result
 
+from celeryferry_core.addresses import is_address
+from celeryferry_core.decoding import JsonDecoder
 from celeryferry_daemon._internal.forwarding.settings import (
     ForwardingSettings,
     InvalidSettingsError,
 )
 
 SETTINGS_PATH_VARIABLE = "CELERYFERRY_BOOT"
+_Ratio = Annotated[float, Meta(ge=0, le=1e6)]
+_DurationMs = Annotated[float, Meta(ge=0, le=86_400_000)]
+_DurationS = Annotated[float, Meta(ge=0, le=86_400)]
 
 
 class _Addresses(msgspec.Struct):
@@ -26,17 +33,17 @@
 
 
 class _Parameters(msgspec.Struct):
-    retry_ratio: float = 0.2
-    retry_burst: float = 50.0
-    warmup_excess: float = 1.0
-    warmup_tolerance: float = 0.0
+    retry_ratio: _Ratio = 0.2
+    retry_burst: _Ratio = 50.0
+    warmup_excess: _Ratio = 1.0
+    warmup_tolerance: _Ratio = 0.0
     # Time after a failure of the store or the network within which the daemon must know
     # the current state again.
-    contact_ms: float = 4000.0
+    contact_ms: _DurationMs = 4000.0
     # Time from SIGTERM to SIGKILL.
-    grace_s: float = 6.0
+    grace_s: _DurationS = 6.0
     # Longest time for which callers may use a response of the directory.
-    ttl_max_s: float = 5.0
+    ttl_max_s: _DurationS = 5.0
 
 
 class _Store(msgspec.Struct):
@@ -44,7 +51,11 @@
 
 
 class _Limits(msgspec.Struct):
-    max_fds: int = 1024
+    max_fds: Annotated[int, Meta(ge=1, le=2**31)] = 1024
+    # Fraction of one core's time, and the speed of that core as a factor; the processor
+    # is not more than one core for a process with one thread.
+    cpu_quota: _Ratio = 1.0
+    cpus: _Ratio = 1.0
 
 
 class _SettingsFile(msgspec.Struct):
@@ -57,6 +68,9 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
+_DECODER = JsonDecoder(_SettingsFile)
+
+
 def decode_settings(content: bytes) -> Result[ForwardingSettings, InvalidSettingsError]:
     """Decode the platform's settings file.
 
@@ -65,20 +79,33 @@
     :param content: JSON text of the file.
     :returns: settings of the daemon, or why they can't be used.
     """
-    try:
-        settings_file = msgspec.json.decode(content, type=_SettingsFile)
-    except msgspec.MsgspecError as error:
-        return Err(InvalidSettingsError(str(error)))
+    match _DECODER.decode(content):
+        case Err(error):
+            return Err(InvalidSettingsError(str(error)))
+        case Ok(settings_file):
+            pass
+    addresses = settings_file.bind_addrs
+    for address in (
+        addresses.http,
+        addresses.readiness,
+        addresses.admin,
+        addresses.directory,
+        settings_file.platform.address,
+    ):
+        if not is_address(address):
+            return Err(InvalidSettingsError(f"not a valid ip:port: {address[:100]}"))
     parameters = settings_file.parameters
+    limits = settings_file.limits
     return Ok(
         ForwardingSettings(
             host_id=settings_file.node_name,
             failure_domain=settings_file.zone,
-            callers_address=settings_file.bind_addrs.http,
-            readiness_address=settings_file.bind_addrs.readiness,
-            peers_address=settings_file.bind_addrs.admin,
-            entry_hosts_address=settings_file.bind_addrs.directory,
-            seed_addresses=tuple(settings_file.seed_nodes),
+            callers_address=addresses.http,
+            readiness_address=addresses.readiness,
+            peers_address=addresses.admin,
+            entry_hosts_address=addresses.directory,
+            # The list may be stale. The settings as read are logged.
+            seed_addresses=tuple(filter(is_address, settings_file.seed_nodes)),
             store_address=settings_file.platform.address,
             extra_ratio=parameters.retry_ratio,
             extra_burst=parameters.retry_burst,
@@ -87,7 +114,8 @@
             contact_time=timedelta(milliseconds=parameters.contact_ms),
             stop_time=timedelta(seconds=parameters.grace_s),
             max_entry_hosts_validity=timedelta(seconds=parameters.ttl_max_s),
-            max_descriptors=settings_file.limits.max_fds,
+            max_descriptors=limits.max_fds,
+            processor_share=limits.cpu_quota * limits.cpus,
         )
     )
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/entries.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/entries.py
@@ -1,10 +1,15 @@
 """Decodes the entries that the platform's store holds."""
 
+import re
 from datetime import timedelta
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 from result import Err, Ok, Result
 
+from celeryferry_core.addresses import is_address
+from celeryferry_core.decoding import JsonDecoder
 from celeryferry_core.exceptions import CeleryferryError
 from celeryferry_core.forwarding.models import (
     CallerBounds,
@@ -29,6 +34,18 @@
 # the times of the longest request in its description.
 _DEFAULT_TIMEOUT_MS = 5_000
 _DEFAULT_TARGET_LATENCY_MS = 500
+# The id of an instance is sent in a request header. Other characters could end the
+# header or the whole request head.
+_INSTANCE_ID = re.compile(r"[!-~]{1,200}")
+
+# Ranges of the numbers in entries. Larger ones can't be converted to durations, written
+# to the log or compared in a meaningful way.
+_MAX_DURATION_MS = 86_400_000
+_DurationMs = Annotated[float, Meta(ge=0, le=_MAX_DURATION_MS)]
+_Count = Annotated[int, Meta(ge=0, le=2**31)]
+_Integer = Annotated[int, Meta(ge=-(2**63), le=2**63 - 1)]
+_Rate = Annotated[float, Meta(ge=0, le=1e9)]
+_Ratio = Annotated[float, Meta(ge=0, le=1)]
 
 
 class InvalidEntryError(CeleryferryError):
@@ -37,7 +54,7 @@
 
 class _WeightedBackend(msgspec.Struct):
     backend: str
-    weight: float
+    weight: _Rate
 
 
 class _Route(msgspec.Struct):
@@ -47,33 +64,33 @@
     # "idempotent" or "non_idempotent". Any other value means that a request must not
     # run more than once.
     type: str = ""
-    timeout_ms: float = _DEFAULT_TIMEOUT_MS
-    target_latency_ms: float = _DEFAULT_TARGET_LATENCY_MS
-    priority: int = 0
-    attempts: int = 1
+    timeout_ms: _DurationMs = _DEFAULT_TIMEOUT_MS
+    target_latency_ms: _DurationMs = _DEFAULT_TARGET_LATENCY_MS
+    priority: _Integer = 0
+    attempts: _Integer = 1
     backend: str | None = None
     traffic_split: list[_WeightedBackend] | None = None
     # Services to query; each holds one shard.
     gather: list[str] | None = None
-    top_k: int = 0
-    min_shard_ratio: float = 1.0
+    top_k: _Count = 0
+    min_shard_ratio: _Ratio = 1.0
 
 
 class _Backend(msgspec.Struct):
     name: str
-    max_conns: int = 16
-    warmup_per_s: float = 0.0
+    max_conns: _Count = 16
+    warmup_per_s: _Rate = 0.0
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 262_144
-    header_timeout_ms: float = 10_000
-    idle_timeout_ms: float = 60_000
+    max_header_bytes: _Count = 16_384
+    max_body_bytes: _Count = 262_144
+    header_timeout_ms: _DurationMs = 10_000
+    idle_timeout_ms: _DurationMs = 60_000
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: _Integer
     routes: list[_Route]
     backends: list[_Backend] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -84,15 +101,15 @@
     address: str
     zone: str
     lifecycle: str
-    capacity: int
+    capacity: _Integer
     # Remaining time of the cold start when the entry was written.
-    warmup_left_ms: float = 0.0
+    warmup_left_ms: Annotated[float, Meta(le=_MAX_DURATION_MS)] = 0.0
     # Time at which this instance started, in Unix milliseconds.
-    born: int = 0
+    born: _Integer = 0
 
 
-_CONFIGURATION_DECODER = msgspec.json.Decoder(_Configuration)
-_SERVER_DECODER = msgspec.json.Decoder(_Server)
+_CONFIGURATION_DECODER = JsonDecoder(_Configuration)
+_SERVER_DECODER = JsonDecoder(_Server)
 
 
 def decode_configuration(
@@ -103,11 +120,13 @@
     :param value: JSON value of ``CONFIGURATION_KEY``.
     :returns: the configuration, or why it can't be used.
     """
+    match _CONFIGURATION_DECODER.decode(value):
+        case Err(error):
+            return Err(InvalidEntryError(str(error)))
+        case Ok(document):
+            pass
     try:
-        document = _CONFIGURATION_DECODER.decode(value)
         rules = tuple(_translate_route(route) for route in document.routes)
-    except msgspec.MsgspecError as error:
-        return Err(InvalidEntryError(str(error)))
     except InvalidEntryError as error:
         return Err(error)
     services = {
@@ -133,13 +152,17 @@
     :param value: JSON value of the entry.
     :returns: the upstream, or why the entry can't be used.
     """
-    try:
-        server = _SERVER_DECODER.decode(value)
-    except msgspec.MsgspecError as error:
-        return Err(InvalidEntryError(str(error)))
-    ip, _, port = server.address.rpartition(":")
-    if server.lifecycle not in (_READY, _DRAINING) or not ip or not port.isdigit():
-        return Err(InvalidEntryError(f"unusable entry of {instance_id}"))
+    if not _INSTANCE_ID.fullmatch(instance_id):
+        return Err(InvalidEntryError("the instance id has characters other than ASCII"))
+    match _SERVER_DECODER.decode(value):
+        case Err(error):
+            return Err(InvalidEntryError(str(error)))
+        case Ok(server):
+            pass
+    if server.lifecycle not in (_READY, _DRAINING):
+        return Err(InvalidEntryError("unknown lifecycle"))
+    if not is_address(server.address):
+        return Err(InvalidEntryError("the address is not a valid ip:port"))
     return Ok(
         Upstream(
             instance_id=instance_id,
@@ -157,8 +180,12 @@
 def _translate_route(route: _Route) -> ForwardingRule:
     match route:
         case _Route(gather=[_, *_] as services):
+            if len(set(services)) < len(services):
+                raise InvalidEntryError(f"route {route.name} names a shard twice")
             target = Sharded(tuple(services), route.top_k, route.min_shard_ratio)
         case _Route(traffic_split=[_, *_] as weighted_backends):
+            if not any(item.weight for item in weighted_backends):
+                raise InvalidEntryError(f"route {route.name} has no positive weight")
             target = Weighted(
                 tuple(
                     WeightedService(item.backend, item.weight)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/sources.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/sources.py
@@ -13,6 +13,7 @@
     SourceItem,
     SourceUnavailableError,
     UpstreamListed,
+    UpstreamRejected,
     UpstreamUnlisted,
 )
 from celeryferry_daemon.platform.entries import (
@@ -67,12 +68,12 @@
     """Return the change that an upstream's entry or its removal represents."""
     instance_id = item.key.removeprefix(UPSTREAM_PREFIX)
     if item.value is None:
-        return UpstreamUnlisted(instance_id, is_removed=True)
+        return UpstreamUnlisted(item.key, instance_id)
     match decode_upstream(instance_id, item.value):
         case Ok(upstream):
-            return UpstreamListed(upstream)
-        case Err():
-            return UpstreamUnlisted(instance_id, is_removed=False)
+            return UpstreamListed(item.key, upstream)
+        case Err(error):
+            return UpstreamRejected(item.key, instance_id, str(error))
 
 
 def decode_operator_item(item: SourceItem) -> Change | None:
@@ -89,6 +90,6 @@
         return None
     match decode_configuration(item.value):
         case Ok(configuration):
-            return ConfigurationPublished(configuration)
+            return ConfigurationPublished(item.key, configuration)
         case Err(error):
             return ItemRejected(item.key, str(error))
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/store.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/store.py
@@ -1,13 +1,15 @@
 """Read-only client of the platform's store."""
 
 import base64
-import binascii
 from datetime import timedelta
+from typing import Annotated, TypeVar
 
 import aiohttp
 import msgspec
 from result import Err, Ok, Result
 
+from celeryferry_core.decoding import JsonDecoder
+from celeryferry_daemon._internal.bodies import read_bounded
 from celeryferry_daemon._internal.forwarding.ports import (
     HistoryGoneError,
     SourceChanges,
@@ -27,31 +29,37 @@
 # the contact time is for reading all items again, at 240 ms per call while the store is
 # slow.
 WATCH_MARGIN_FRACTION = 0.125
+# The platform limits a page to about 1 MB of values, which base64 makes a third larger.
+MAX_BODY_BYTES = 8 * 1_048_576
 HISTORY_GONE_STATUS = 410
 OK_STATUS = 200
 
 
+_Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 class _Item(msgspec.Struct):
     key: str
-    revision: int = 0
+    revision: _Revision = 0
     value: str | None = None
     deleted: bool | int | None = None
 
 
 class _RangeResponse(msgspec.Struct):
     items: list[_Item]
-    as_of: int
+    as_of: _Revision
     # Whether more items follow after the last one of this page.
     truncated: bool = False
 
 
 class _WatchResponse(msgspec.Struct):
     events: list[_Item]
-    as_of: int
+    as_of: _Revision
 
 
-_RANGE_DECODER = msgspec.json.Decoder(_RangeResponse)
-_WATCH_DECODER = msgspec.json.Decoder(_WatchResponse)
+_T = TypeVar("_T")
+_RANGE_DECODER = JsonDecoder(_RangeResponse)
+_WATCH_DECODER = JsonDecoder(_WatchResponse)
 
 
 class StoreClient:
@@ -94,14 +102,12 @@
         after = ""
         while True:
             params = {"path_prefix": prefix} | ({"after": after} if after else {})
-            result = await self._get("/kv-range", params, READ_TIMEOUT)
+            result = await self._get("/kv-range", params, READ_TIMEOUT, _RANGE_DECODER)
             match result:
                 case Err(error):
                     return Err(error)
-                case Ok(body):
-                    page = _decode(_RANGE_DECODER, body)
-            if page is None:
-                return Err(SourceUnavailableError("unreadable answer to kv-range"))
+                case Ok(page):
+                    pass
             revision = page.as_of if revision is None else revision
             items += [_translate_item(item) for item in page.items]
             if not page.truncated or not page.items:
@@ -122,20 +128,24 @@
             "after": str(after_revision),
             "wait_ms": str(self.watch_wait // timedelta(milliseconds=1)),
         }
-        result = await self._get("/kv-watch", params, self.watch_timeout)
+        result = await self._get(
+            "/kv-watch", params, self.watch_timeout, _WATCH_DECODER
+        )
         match result:
             case Err(error):
                 return Err(error)
-            case Ok(body):
-                response = _decode(_WATCH_DECODER, body)
-        if response is None:
-            return Err(SourceUnavailableError("unreadable answer to kv-watch"))
+            case Ok(response):
+                pass
         items = tuple(_translate_item(item) for item in response.events)
         return Ok(SourceChanges(items, response.as_of))
 
     async def _get(
-        self, path: str, params: dict[str, str], timeout: timedelta
-    ) -> Result[bytes, SourceUnavailableError | HistoryGoneError]:
+        self,
+        path: str,
+        params: dict[str, str],
+        timeout: timedelta,
+        decoder: JsonDecoder[_T],
+    ) -> Result[_T, SourceUnavailableError | HistoryGoneError]:
         client_timeout = aiohttp.ClientTimeout(
             total=timeout.total_seconds(),
             sock_connect=CONNECT_TIMEOUT.total_seconds(),
@@ -144,9 +154,14 @@
             async with self._session.get(
                 self._url + path, params=params, timeout=client_timeout
             ) as response:
-                body = await response.read()
+                body = await read_bounded(response, MAX_BODY_BYTES)
                 status = response.status
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            OSError,
+            ValueError,
+        ) as error:
             return Err(SourceUnavailableError(f"{path}: {error!r}"))
         if status == HISTORY_GONE_STATUS:
             return Err(
@@ -156,16 +171,11 @@
             )
         if status != OK_STATUS:
             return Err(SourceUnavailableError(f"{path}: status {status}"))
-        return Ok(body)
-
-
-def _decode(
-    decoder: msgspec.json.Decoder, body: bytes
-) -> _RangeResponse | _WatchResponse | None:
-    try:
-        return decoder.decode(body)
-    except msgspec.MsgspecError:
-        return None
+        match decoder.decode(body):
+            case Ok(message):
+                return Ok(message)
+            case Err(error):
+                return Err(SourceUnavailableError(f"{path}: {error}"))
 
 
 def _translate_item(item: _Item) -> SourceItem:
@@ -173,7 +183,7 @@
         return SourceItem(item.key, item.revision, None)
     try:
         value = base64.b64decode(item.value, validate=True)
-    except binascii.Error:
+    except ValueError:
         # The value is not base64. With an empty value, the entry is rejected when it is
         # decoded; it is not treated as removed.
         value = b""
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/wire.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/wire.py
@@ -1,5 +1,6 @@
 """Encodes and decodes the platform's HTTP messages of callers and upstreams."""
 
+import re
 from collections.abc import Iterable, Mapping
 from datetime import timedelta
 
@@ -69,16 +70,17 @@
 _UNAVAILABLE_STATUS = 503
 _GATEWAY_TIMEOUT_STATUS = 504
 _MILLISECOND = timedelta(milliseconds=1)
+# Ten digits are 115 days.
+_DEADLINE_MS = re.compile(r"-?[0-9]{1,10}(?:\.[0-9]{1,10})?")
+_LOAD = re.compile(r"\s*([0-9]{1,6})\s*,\s*([0-9]{1,6})\s*(?:,.*)?")
 
 
 def read_time_left(headers: Iterable[tuple[str, str]]) -> timedelta | None:
     """Return how long the caller will wait, None if not stated or invalid."""
     for name, value in headers:
         if name.lower() == DEADLINE_MS_HEADER:
-            try:
-                return timedelta(milliseconds=float(value))
-            except (ValueError, OverflowError):
-                return None
+            match = _DEADLINE_MS.fullmatch(value.strip())
+            return timedelta(milliseconds=float(value)) if match else None
     return None
 
 
@@ -158,11 +160,8 @@
 
     :returns: the sum of both, or None if the header is missing or invalid.
     """
-    counts = (response.get_header(LOAD_HEADER) or "").split(",")
-    try:
-        return int(counts[0]) + int(counts[1])
-    except (ValueError, IndexError):
-        return None
+    counts = _LOAD.fullmatch(response.get_header(LOAD_HEADER) or "")
+    return int(counts[1]) + int(counts[2]) if counts else None
 
 
 def make_response(result: RequestResult) -> CallerResponse:
--- a/tests/daemon/test_forwarding_sources.py
+++ b/tests/daemon/test_forwarding_sources.py
@@ -103,9 +103,9 @@
     def decode(self, item):
         """Return the change of an item whose key is ``service-domain``."""
         if item.value is None:
-            return UpstreamUnlisted(item.key, is_removed=True)
+            return UpstreamUnlisted(item.key, item.key)
         service, domain = item.key.split("-")
-        return UpstreamListed(make_upstream(service, domain))
+        return UpstreamListed(item.key, make_upstream(service, domain))
 
 
 def make_entry(key: str, revision: int) -> SourceItem:
@@ -238,7 +238,9 @@
         )
         for version in (7, 5):
             rules = (make_single_rule(name=f"rule-{version}"),)
-            published = ConfigurationPublished(ForwardingConfiguration(version, rules))
+            published = ConfigurationPublished(
+                "configuration", ForwardingConfiguration(version, rules)
+            )
             state.apply(published, clock.monotonic())
         self.assertEqual(state.configuration.version, 7)
         self.assertEqual(state.rules.find("a.example", "/order/").name, "rule-7")
--- a/tests/system/test_platform_daemon.py
+++ b/tests/system/test_platform_daemon.py
@@ -7,11 +7,13 @@
 from pathlib import Path
 
 import aiohttp
+import msgspec
 
 from celeryferry_standins.platform.fleet import PlatformFleet
 from celeryferry_standins.processes import StartError, wait_until
 
 SHARDS = ("s0", "s1", "s2", "s3")
+ODD_ENTRIES = Path(__file__).parent.parent / "corpus" / "entries"
 # Ends a test that hangs.
 TEST_TIMEOUT = timedelta(seconds=40)
 LOOKUP = {
@@ -154,6 +156,29 @@
 
         await self.wait(is_drained, "no work for draining upstreams")
 
+    async def test_odd_entries_cost_only_themselves(self):
+        """Guards against an entry of another writer that stops the hosts.
+
+        An entry that can't be decoded used to end the task that follows the store, and
+        it did so again after each restart of the task.
+        """
+        for path in sorted(ODD_ENTRIES.iterdir()):
+            value = msgspec.Raw(path.read_bytes() or b" ")
+            await self.fleet.store.put(f"servers/{path.stem}", value)
+        extra = dict(LOOKUP, name="extra", path_prefix="/extra/")
+        await self.fleet.store.put("op/config", make_configuration(2, LOOKUP, extra))
+
+        async def is_in_force() -> bool:
+            answers = [await self.send(host, "/extra/1") for host in self.fleet.hosts]
+            return all(answer[0] == 200 for answer in answers)
+
+        await self.wait(is_in_force, "version 2 on all hosts")
+        for host in self.fleet.hosts:
+            log = host.process.read_log()
+            self.assertEqual(log.count('"event":"started"'), 1)
+            self.assertEqual(log.count('"event":"item_failed"'), 0)
+            self.assertGreater(log.count('"event":"item_rejected"'), 10)
+
     async def test_reused_address_gets_no_request_of_the_former_upstream(self):
         """Guards against a request that runs at the wrong upstream.
 
