--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/hosts.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/hosts.py
@@ -1,40 +1,30 @@
-"""Hosts of the fleet, known from heartbeats that hosts forward to one another."""
+"""Hosts of the fleet, as the relays of each failure domain report them.
 
-from collections.abc import Iterable
-from dataclasses import dataclass
+Every host keeps a link to the relays of its failure domain, and the relays of different
+domains keep links to each other. A relay reports the hosts whose links it holds, and
+passes on what the relays of other domains report. Nothing is passed on more than once,
+so a host that is gone can't be kept alive by two relays that repeat each other.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
 from datetime import timedelta
+from enum import StrEnum
+from typing import Annotated
 
 import msgspec
 
-from celeryferry_core.environment import RandomSource
-
-# A host that was not heard from for this long is considered failed. Each host starts an
-# exchange every 500 ms, and a heartbeat arrives over up to two hops. The time-out
-# allows for three missed exchanges. It is the longest time for which a stopped host is
-# still named to callers.
-SILENCE_TIMEOUT = timedelta(seconds=4)
-# A failed host is remembered for longer than its heartbeats can circulate, so that an
-# old heartbeat does not bring it back.
-FORGET_TIMEOUT = timedelta(seconds=30)
-# Limits the size of one exchange's message at any fleet size.
-MAX_SENT_HEARTBEATS = 48
-# On average, one exchange in this many may go to another failure domain. With this
-# value, four hosts of a domain together reach another domain about every 750 ms.
-EXCHANGES_PER_REMOTE = 3
-# A longer gap between two refreshes is a pause of this process. The other hosts only
-# seem silent then, and are not considered failed.
-OWN_PAUSE_THRESHOLD = timedelta(seconds=1)
-# Callers of the forwarding daemon accept no more addresses from one answer. The limit
-# in ``celeryferry_core.entry_hosts`` is for callers of the query daemon.
-MAX_ENTRY_HOSTS = 64
-# A caller with fewer hosts in its failure domain is told all hosts.
-MIN_LOCAL_ENTRY_HOSTS = 2
-# Number of hosts of other failure domains named in addition to the local ones.
-REMOTE_ENTRY_HOST_COUNT = 1
-
-
-class HostHeartbeat(msgspec.Struct, frozen=True, gc=False):
-    """State that a host announces of itself; other hosts forward it unchanged.
+_UnsignedInteger = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_NonNegative = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
+
+# A closed link's reports stay in force for this time, in which the next relay is
+# connected. Without them, a host that has lost its relays would consider itself the
+# only host of the fleet and would use the limits of the whole fleet alone.
+VIEW_RETENTION = timedelta(seconds=3)
+
+
+class HostInfo(msgspec.Struct, frozen=True, gc=False, array_like=True):
+    """What a host states about itself. It is sent as a JSON array to save bytes.
 
     :param host_id: unique name of the host.
     :param failure_domain: failure domain of the host.
@@ -42,7 +32,10 @@
     :param peers_address: ``ip:port`` of the listener for other hosts.
     :param started_ms: Unix time of the process start in milliseconds; a later start
         replaces an earlier one.
-    :param beat: sequence number, increased with every heartbeat of the process.
+    :param sequence: increased with every change of the other fields.
+    :param processor_share: processor time that the process may use, in seconds of an
+        ordinary core per second.
+    :param load: processor time that its requests need, in the same unit.
     :param is_ready: whether the host serves callers.
     :param is_leaving: whether the host is stopping.
     """
@@ -51,16 +44,71 @@
     failure_domain: str
     callers_address: str
     peers_address: str
-    started_ms: int
-    beat: int
+    started_ms: _UnsignedInteger
+    sequence: _UnsignedInteger = 0
+    processor_share: _NonNegative = 1.0
+    load: _NonNegative = 0.0
     is_ready: bool = False
     is_leaving: bool = False
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether callers may be sent to the host."""
+        return self.is_ready and not self.is_leaving
+
+    @property
+    def recency(self) -> tuple[int, int]:
+        """Sorts the statements of one host by age, the latest last."""
+        return (self.started_ms, self.sequence)
+
+
+class Scope(StrEnum):
+    """Which hosts a report is about: the sender's failure domain, or all others."""
+
+    DOMAIN = "domain"
+    OTHERS = "others"
+
+
+class LinkRole(StrEnum):
+    """What a link is for, as seen from this host."""
+
+    TO_RELAY = "to_relay"
+    FROM_MEMBER = "from_member"
+    BETWEEN_DOMAINS = "between_domains"
+
+
+# Time without any message after which a link counts as lost. A relay sends to its
+# members every 500 ms; all other messages are sent at least once a second.
+SILENCE_LIMITS: Mapping[LinkRole, timedelta] = {
+    LinkRole.TO_RELAY: timedelta(milliseconds=1500),
+    LinkRole.FROM_MEMBER: timedelta(milliseconds=2500),
+    LinkRole.BETWEEN_DOMAINS: timedelta(milliseconds=2500),
+}
+
+
+class HostsUpdate(msgspec.Struct, frozen=True, gc=False, tag="hosts"):
+    """Hosts that a link's sender reports.
+
+    :param is_whole: whether the report replaces all earlier ones of its scope.
+    :param hosts: hosts that are new or have changed.
+    :param gone: ids of hosts that are no longer reported.
+    """
+
+    scope: Scope
+    is_whole: bool
+    hosts: tuple[HostInfo, ...]
+    gone: tuple[str, ...] = ()
+
 
 @dataclass(slots=True)
-class _KnownHost:
-    heartbeat: HostHeartbeat
-    last_heard_at: timedelta
+class _View:
+    role: LinkRole
+    peer: HostInfo
+    heard_at: timedelta
+    closed_at: timedelta | None = None
+    hosts: dict[Scope, dict[str, HostInfo]] = field(
+        default_factory=lambda: {scope: {} for scope in Scope}
+    )
 
 
 class HostTable:
@@ -68,164 +116,163 @@
 
     Arguments named ``now`` are monotonic times.
 
-    :param own_heartbeat: first heartbeat of this host.
+    :param own: statement of this host.
+    :ivar live: the hosts known to be live by the latest ``refresh``, by id.
     """
 
-    __slots__ = ("_known_hosts", "_refreshed_at", "own_heartbeat", "random")
+    __slots__ = ("_gone", "_is_changed", "_retained", "_views", "live", "own")
 
-    def __init__(self, own_heartbeat: HostHeartbeat, random: RandomSource) -> None:
-        self.own_heartbeat = own_heartbeat
-        self.random = random
-        self._known_hosts: dict[str, _KnownHost] = {}
-        self._refreshed_at: timedelta | None = None
+    def __init__(self, own: HostInfo) -> None:
+        self.own = own
+        self.live: Mapping[str, HostInfo] = {own.host_id: own}
+        self._views: dict[int, _View] = {}
+        self._retained: list[_View] = []
+        self._gone: dict[str, tuple[tuple[int, int], timedelta]] = {}
+        self._is_changed = False
 
-    def refresh_own_heartbeat(
-        self, now: timedelta, is_ready: bool, is_leaving: bool
-    ) -> None:
-        """Advance the heartbeat of this host.
+    def replace_own(self, own: HostInfo) -> None:
+        """Replace the statement of this host."""
+        self.own = own
+        self._is_changed = True
 
-        The length of a pause of this process is not counted as silence of the other
-        hosts, since their heartbeats could not be received.
+    def open(
+        self, link_id: int, role: LinkRole, peer: HostInfo, now: timedelta
+    ) -> None:
+        """Add a link.
 
-        :param is_ready: whether this host serves callers.
-        :param is_leaving: whether this host is stopping.
+        :param peer: host at the other end.
         """
-        last = self._refreshed_at
-        if last is not None and now - last > OWN_PAUSE_THRESHOLD:
-            for known in self._known_hosts.values():
-                known.last_heard_at += now - last
-        self._refreshed_at = now
-        self.own_heartbeat = msgspec.structs.replace(
-            self.own_heartbeat,
-            beat=self.own_heartbeat.beat + 1,
-            is_ready=is_ready,
-            is_leaving=is_leaving,
-        )
-
-    def merge(
-        self, heartbeats: Iterable[HostHeartbeat], now: timedelta
-    ) -> list[HostHeartbeat]:
-        """Apply heartbeats received from another host.
-
-        Heartbeats of this host, and those older than the known ones, are ignored.
-
-        :returns: heartbeats of the hosts that were unknown or considered failed.
-        """
-        newly_live = []
-        for heartbeat in heartbeats:
-            if heartbeat.host_id == self.own_heartbeat.host_id:
-                continue
-            known = self._known_hosts.get(heartbeat.host_id)
-            if known is None:
-                self._known_hosts[heartbeat.host_id] = _KnownHost(heartbeat, now)
-                newly_live.append(heartbeat)
-                continue
-            is_silent = now - known.last_heard_at > SILENCE_TIMEOUT
-            # After a step of the wall clock, a later start can have an earlier time.
-            is_restart = (
-                is_silent and heartbeat.started_ms != known.heartbeat.started_ms
-            )
-            if is_restart or _get_recency(heartbeat) > _get_recency(known.heartbeat):
-                if is_silent:
-                    newly_live.append(heartbeat)
-                known.heartbeat = heartbeat
-                known.last_heard_at = now
-        return newly_live
-
-    def forget_failed(self, now: timedelta) -> list[HostHeartbeat]:
-        """Forget failed hosts that were not heard from for ``FORGET_TIMEOUT``.
-
-        :returns: last heartbeats of the hosts that were forgotten.
-        """
-        forgotten = [
-            known.heartbeat
-            for known in self._known_hosts.values()
-            if now - known.last_heard_at > FORGET_TIMEOUT
-        ]
-        for heartbeat in forgotten:
-            del self._known_hosts[heartbeat.host_id]
-        return forgotten
-
-    def list_live(self, now: timedelta) -> list[HostHeartbeat]:
-        """Return the hosts heard from within ``SILENCE_TIMEOUT``, this one first."""
-        live = [self.own_heartbeat]
-        live += [
-            known.heartbeat
-            for known in self._known_hosts.values()
-            if now - known.last_heard_at <= SILENCE_TIMEOUT
-        ]
-        return live
+        view = _View(role, peer, now)
+        if role is not LinkRole.FROM_MEMBER:
+            view.hosts[Scope.DOMAIN][peer.host_id] = peer
+        self._views[link_id] = view
+        self._is_changed = True
 
-    def list_serving(self, now: timedelta) -> list[HostHeartbeat]:
-        """Return the live hosts that are ready and not leaving."""
+    def close(self, link_id: int, now: timedelta) -> None:
+        """Remove a link; what it has reported stays in force for ``VIEW_RETENTION``.
+
+        The host at its other end is no longer live by this link.
+        """
+        view = self._views.pop(link_id, None)
+        if view is None:
+            return
+        self._is_changed = True
+        self._gone[view.peer.host_id] = (view.peer.recency, now)
+        if view.role is not LinkRole.FROM_MEMBER:
+            view.closed_at = now
+            self._retained.append(view)
+
+    def record_heard(self, link_id: int, now: timedelta) -> None:
+        """Record that a message of any kind has arrived on a link."""
+        view = self._views.get(link_id)
+        if view is not None:
+            view.heard_at = now
+
+    def apply(self, link_id: int, update: HostsUpdate, now: timedelta) -> None:
+        """Apply a report received on a link."""
+        view = self._views.get(link_id)
+        if view is None:
+            return
+        if view.role is LinkRole.FROM_MEMBER:
+            # A member reports only itself.
+            for info in update.hosts:
+                if info.host_id == view.peer.host_id:
+                    view.peer = info
+            self._is_changed = True
+            return
+        hosts = view.hosts[update.scope]
+        if update.is_whole:
+            hosts.clear()
+        for info in update.hosts:
+            hosts[info.host_id] = info
+            if info.host_id == view.peer.host_id:
+                view.peer = info
+        for host_id in update.gone:
+            info = hosts.pop(host_id, None)
+            if info is not None:
+                self._gone[host_id] = (info.recency, now)
+        self._is_changed = True
+
+    def list_silent(self, now: timedelta) -> list[int]:
+        """Return the ids of the links that were silent for longer than their limit."""
         return [
-            heartbeat
-            for heartbeat in self.list_live(now)
-            if heartbeat.is_ready and not heartbeat.is_leaving
+            link_id
+            for link_id, view in self._views.items()
+            if now - view.heard_at > SILENCE_LIMITS[view.role]
         ]
 
-    def list_heartbeats_to_send(self, now: timedelta) -> list[HostHeartbeat]:
-        """Return the heartbeats to send in the next exchange, this host's first.
+    def shift_times(self, pause: timedelta) -> None:
+        """Exclude a pause of this process from the silence of its links.
 
-        :returns: at most ``MAX_SENT_HEARTBEATS``, drawn at random from the live hosts.
+        Messages that arrived during the pause have not been read yet.
         """
-        others = self.list_live(now)[1:]
-        while len(others) >= MAX_SENT_HEARTBEATS:
-            others.pop(self.random.randrange(len(others)))
-        return [self.own_heartbeat, *others]
-
-    def pick_peers(self, count: int, now: timedelta) -> list[HostHeartbeat]:
-        """Choose hosts for the next exchange.
+        for view in self._views.values():
+            view.heard_at += pause
+        for view in self._retained:
+            view.closed_at += pause
+
+    def get_direct(self) -> dict[str, HostInfo]:
+        """Return this host and the hosts whose member links it holds, by id."""
+        direct = {self.own.host_id: self.own}
+        for view in self._views.values():
+            if view.role is LinkRole.FROM_MEMBER:
+                _merge(direct, (view.peer,))
+        return direct
+
+    def get_others(self) -> dict[str, HostInfo]:
+        """Return the hosts that relays of other domains report to this host, by id."""
+        others: dict[str, HostInfo] = {}
+        for view in self._views.values():
+            if view.role is LinkRole.BETWEEN_DOMAINS:
+                _merge(others, view.hosts[Scope.DOMAIN].values())
+        for view in self._retained:
+            if view.role is LinkRole.BETWEEN_DOMAINS:
+                _merge(others, self._list_retained(view, Scope.DOMAIN))
+        return others
+
+    def refresh(self, now: timedelta) -> bool:
+        """Compute the live hosts anew if any link or report has changed.
+
+        :returns: True if the live hosts or their statements have changed.
+        """
+        expired = [v for v in self._retained if now - v.closed_at > VIEW_RETENTION]
+        if expired:
+            self._retained = [v for v in self._retained if v not in expired]
+            self._is_changed = True
+        for host_id, (_, at) in list(self._gone.items()):
+            if now - at > VIEW_RETENTION:
+                del self._gone[host_id]
+        if not self._is_changed:
+            return False
+        self._is_changed = False
+        live = self.get_direct()
+        _merge(live, self.get_others().values())
+        for view in self._views.values():
+            if view.role is LinkRole.TO_RELAY:
+                for scope in Scope:
+                    _merge(live, view.hosts[scope].values())
+        for view in self._retained:
+            if view.role is LinkRole.TO_RELAY:
+                for scope in Scope:
+                    _merge(live, self._list_retained(view, scope))
+        live[self.own.host_id] = self.own
+        has_changed = live != self.live
+        self.live = live
+        return has_changed
+
+    def _list_retained(self, view: _View, scope: Scope) -> list[HostInfo]:
+        """Return what a closed link reported, without hosts that are gone since."""
+        return [
+            info
+            for info in view.hosts[scope].values()
+            if info.host_id not in self._gone
+            or info.recency > self._gone[info.host_id][0]
+        ]
 
-        Most exchanges stay in the failure domain of this host, since traffic between
-        domains is expensive. On average, one in ``EXCHANGES_PER_REMOTE`` goes to any
-        host. If the failure domain has fewer than ``count`` other live hosts, every
-        exchange goes to any host.
 
-        :param count: maximum number of hosts.
-        :returns: other live hosts, drawn at random.
-        """
-        others = self.list_live(now)[1:]
-        if self.random.randrange(EXCHANGES_PER_REMOTE):
-            domain = self.own_heartbeat.failure_domain
-            local = [
-                heartbeat for heartbeat in others if heartbeat.failure_domain == domain
-            ]
-            others = local if len(local) >= count else others
-        picked = []
-        while others and len(picked) < count:
-            picked.append(others.pop(self.random.randrange(len(others))))
-        return picked
-
-
-def _get_recency(heartbeat: HostHeartbeat) -> tuple[int, int]:
-    return (heartbeat.started_ms, heartbeat.beat)
-
-
-def choose_entry_hosts(
-    serving: list[HostHeartbeat], failure_domain: str, random: RandomSource
-) -> list[str]:
-    """Choose the hosts that are named to a caller.
-
-    Hosts of the caller's failure domain keep traffic between failure domains low. If
-    there are at least ``MIN_LOCAL_ENTRY_HOSTS`` of them, ``REMOTE_ENTRY_HOST_COUNT``
-    others are added, so that the caller still has an address if its domain fails.
-    Otherwise all others are added.
-
-    :param serving: heartbeats of the hosts that callers may use.
-    :param failure_domain: failure domain of the caller.
-    :returns: addresses of the chosen hosts, at most ``MAX_ENTRY_HOSTS``.
-    """
-    local = [
-        heartbeat for heartbeat in serving if heartbeat.failure_domain == failure_domain
-    ]
-    others = [
-        heartbeat for heartbeat in serving if heartbeat.failure_domain != failure_domain
-    ]
-    if len(local) >= MIN_LOCAL_ENTRY_HOSTS:
-        while len(others) > REMOTE_ENTRY_HOST_COUNT:
-            others.pop(random.randrange(len(others)))
-    named = [heartbeat.callers_address for heartbeat in [*local, *others]]
-    while len(named) > MAX_ENTRY_HOSTS:
-        named.pop(random.randrange(len(named)))
-    return named
+def _merge(hosts: dict[str, HostInfo], infos: Iterable[HostInfo]) -> None:
+    """Add hosts; of two statements of one host the later one stays."""
+    for info in infos:
+        known = hosts.get(info.host_id)
+        if known is None or info.recency > known.recency:
+            hosts[info.host_id] = info
--- /dev/null
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/reading.py
@@ -0,0 +1,66 @@
+"""Decides whether a host reads a source itself or takes its contents from relays."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import StrEnum
+
+from celeryferry_core.forwarding.relays import RELAY_COUNT
+
+# A host whose relays report that the source can't be read tries it too if it is among
+# the next candidates for relays: the source may refuse some hosts and serve others.
+EXTRA_READER_COUNT = 2
+# Time without any relay after which a host reads the source itself, and the additional
+# time for each host that comes before it, up to a maximum.
+ISOLATION_TIME = timedelta(milliseconds=1200)
+STAGGER_TIME = timedelta(milliseconds=100)
+MAX_STAGGER_COUNT = 5
+# Time after which a host that knows of later changes than its own reads the source.
+MAX_BEHIND_TIME = timedelta(seconds=1)
+# Time for which a relay that has just started waits for the contents from another one.
+CONTENTS_WAIT = timedelta(milliseconds=300)
+
+
+class RelayReport(StrEnum):
+    """What the relays of a host report about a source."""
+
+    AVAILABLE = "available"
+    UNAVAILABLE = "unavailable"
+    NO_RELAY = "no_relay"
+
+
+@dataclass(frozen=True, slots=True)
+class ReadingInputs:
+    """What the decision depends on.
+
+    :param is_relay: whether other hosts rely on this one.
+    :param rank: position among the candidates for relays of the domain, 0 for the best.
+    :param has_contents: whether this host knows the contents already.
+    :param report: latest report of its relays.
+    :param report_age: time since this kind of report began.
+    :param behind_for: time since this host has known of changes that it lacks, zero if
+        it knows of none.
+    """
+
+    is_relay: bool
+    rank: int
+    has_contents: bool
+    report: RelayReport
+    report_age: timedelta
+    behind_for: timedelta = timedelta(0)
+
+
+def should_read(inputs: ReadingInputs) -> bool:
+    """Return whether a host should read the source itself."""
+    if inputs.behind_for >= MAX_BEHIND_TIME:
+        return True
+    if inputs.is_relay:
+        may_wait = inputs.rank > 0 and inputs.report is not RelayReport.NO_RELAY
+        return inputs.has_contents or not may_wait or inputs.report_age >= CONTENTS_WAIT
+    match inputs.report:
+        case RelayReport.AVAILABLE:
+            return False
+        case RelayReport.UNAVAILABLE:
+            return inputs.rank < RELAY_COUNT + EXTRA_READER_COUNT
+        case RelayReport.NO_RELAY:
+            stagger = STAGGER_TIME * min(inputs.rank, MAX_STAGGER_COUNT)
+            return inputs.report_age >= ISOLATION_TIME + stagger
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/rules.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/rules.py
@@ -52,3 +52,15 @@
                 if remaining < 0:
                     return (part.service,)
             return (parts[-1].service,)
+
+
+def list_services(rules: Iterable[ForwardingRule]) -> frozenset[str]:
+    """Return the services that requests of any of these rules go to."""
+    services: set[str] = set()
+    for rule in rules:
+        match rule.target:
+            case Sharded(services=shards):
+                services.update(shards)
+            case Weighted(parts=parts):
+                services.update(part.service for part in parts)
+    return frozenset(services)
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/selection.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/selection.py
@@ -41,6 +41,7 @@
     :param warmup: rate limits for cold upstreams.
     :ivar services: limits by service, replaced when the configuration changes.
     :ivar host_count: number of hosts that share the connections of an upstream.
+    :ivar sent_count: attempts sent since the start.
     """
 
     __slots__ = (
@@ -50,6 +51,7 @@
         "_registry",
         "_warmup",
         "host_count",
+        "sent_count",
         "services",
     )
 
@@ -67,6 +69,7 @@
         self._health: dict[str, UpstreamHealth] = {}
         self.services: Mapping[str, ServiceBounds] = {}
         self.host_count = 1
+        self.sent_count = 0
 
     def get_health(self, instance_id: str) -> UpstreamHealth:
         """Return the observations of an upstream, created on first use.
@@ -127,6 +130,7 @@
 
     def count_sent(self, upstream: Upstream, now: timedelta) -> None:
         """Count an attempt that is being sent to an upstream."""
+        self.sent_count += 1
         self.get_health(upstream.instance_id).in_flight += 1
         if self._registry.is_cold(upstream.instance_id, now):
             self._warmup.count_sent(upstream.instance_id, now)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
@@ -14,11 +14,7 @@
 from result import Err, Ok, Result
 
 from celeryferry_core.addresses import split_address
-from celeryferry_core.forwarding.hosts import (
-    HostHeartbeat,
-    HostTable,
-    choose_entry_hosts,
-)
+from celeryferry_core.forwarding.hosts import HostInfo
 from celeryferry_daemon._internal.clock import SystemClock
 from celeryferry_daemon._internal.forwarding.callers import CallersHandler
 from celeryferry_daemon._internal.forwarding.draining import DrainSchedule
@@ -27,7 +23,7 @@
 from celeryferry_daemon._internal.forwarding.log_lines import LogWriter
 from celeryferry_daemon._internal.forwarding.messages import CallerResponse
 from celeryferry_daemon._internal.forwarding.metrics import RequestMetrics
-from celeryferry_daemon._internal.forwarding.peers import PeerExchange
+from celeryferry_daemon._internal.forwarding.peers import PeerNetwork
 from celeryferry_daemon._internal.forwarding.pool import UpstreamPool
 from celeryferry_daemon._internal.forwarding.ports import Source, WireFormat
 from celeryferry_daemon._internal.forwarding.settings import (
@@ -38,17 +34,16 @@
 from celeryferry_daemon._internal.tasks import TaskSet
 
 # Time for which callers may keep the addresses of entry hosts. Independently of this, a
-# failed host stays in the responses until its silence is detected: ``SILENCE_TIMEOUT``
+# failed host stays in the responses until its silence is detected: ``SILENCE_LIMITS``
 # of ``celeryferry_core.forwarding.hosts``.
 ENTRY_HOSTS_VALIDITY = timedelta(seconds=2)
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=50)
 HOUSEKEEPING_INTERVAL = timedelta(milliseconds=250)
 SETTINGS_RELOAD_INTERVAL = timedelta(seconds=2)
 LISTEN_BACKLOG = 512
-# Limit on the request bodies of the listener for peers, which carry heartbeats. The
-# contents of a source (about 4 MB with 16,000 upstreams) are sent in responses, to
-# which this limit does not apply.
-MAX_PEER_BODY_BYTES = 4 * 1_048_576
+# Limit on the request bodies of the listener for peers, which are questions to seeds.
+# It does not apply to messages on links.
+MAX_PEER_BODY_BYTES = 65_536
 
 LoadSettings = Callable[[], Result[ForwardingSettings, InvalidSettingsError]]
 
@@ -83,20 +78,21 @@
             )
             for source in sources
         }
-        own_heartbeat = HostHeartbeat(
+        own = HostInfo(
             host_id=settings.host_id,
             failure_domain=settings.failure_domain,
             callers_address=settings.callers_address,
             peers_address=settings.peers_address,
             started_ms=int(time.time() * 1000),
-            beat=0,
+            processor_share=settings.processor_share,
         )
-        self._peers = PeerExchange(
-            HostTable(own_heartbeat, self._random),
+        self._peers = PeerNetwork(
+            own,
             settings.seed_addresses,
             self._followers,
             self._state,
             self._clock,
+            self._random,
             self._log,
         )
         self._callers = CallersHandler(
@@ -178,10 +174,9 @@
         return web.Response(status=status.status_code)
 
     async def _handle_entry_hosts(self, request: web.Request) -> web.Response:
-        now = self._clock.monotonic()
-        serving = self._peers.table.list_serving(now)
         domain = self._wire.read_caller_domain(request.query)
-        addresses = choose_entry_hosts(serving, domain, self._random)
+        chosen = self._peers.entry_sets.choose(domain)
+        addresses = [host.callers_address for host in chosen]
         if not addresses:
             return web.Response(status=web.HTTPServiceUnavailable.status_code)
         validity = min(ENTRY_HOSTS_VALIDITY, self.settings.max_entry_hosts_validity)
@@ -194,7 +189,7 @@
 
     async def _run_housekeeping(self) -> None:
         while True:
-            self._peers.is_ready = self.is_ready
+            self._peers.report_readiness(self.is_ready)
             self._state.drop_missing_upstreams(self._clock.monotonic())
             self._pool.close_expired()
             await asyncio.sleep(HOUSEKEEPING_INTERVAL.total_seconds())
@@ -208,7 +203,7 @@
         match self._load_settings():
             case Ok(settings) if settings != self.settings:
                 self.settings = settings
-                self._peers.seeds = settings.seed_addresses
+                self._peers.replace_seeds(settings.seed_addresses)
                 self._state.replace_settings(settings)
                 self._log.write("settings_reloaded", cause=cause, settings=settings)
             case Err(error):
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
@@ -1,6 +1,8 @@
-"""Follows one source of the platform: reads all items, then watches for changes."""
+"""Follows one source of the platform, by its own calls or by what peers pass on."""
 
 import asyncio
+from collections import deque
+from collections.abc import Callable
 from datetime import timedelta
 
 from result import Err, Ok
@@ -11,7 +13,6 @@
     HistoryGoneError,
     Source,
     SourceChanges,
-    SourceContents,
     SourceItem,
 )
 from celeryferry_daemon._internal.forwarding.state import HostState
@@ -19,38 +20,48 @@
 # Pause after a change, so that changes in quick succession are read with one call.
 # The platform charges for every call. The drain of an upstream or a new configuration
 # must take effect within seconds, so the pause is short in comparison.
-COALESCE_TIME = timedelta(milliseconds=200)
-# Exponential backoff after failed calls. All hosts lose the source at the same time, so
-# a random factor spreads their next calls.
+COALESCE_TIME = timedelta(milliseconds=300)
+# Exponential backoff after failed calls. All readers lose the source at the same time,
+# so a random factor spreads their next calls.
 MIN_RETRY_DELAY = timedelta(milliseconds=100)
 MAX_RETRY_DELAY = timedelta(milliseconds=800)
-# If a peer has known a later change for this long, the watch of this host is assumed to
-# receive no more changes.
-MAX_BEHIND_TIME = timedelta(seconds=1)
+# Removed items that are remembered, for peers that ask for the changes since a
+# revision. A peer that is further behind gets the whole contents.
+MAX_REMEMBERED_REMOVALS = 4096
+
+ChangesListener = Callable[[int, SourceChanges], None]
 
 
 class SourceFollower:
     """Keeps the contents of a source and applies its changes to the host's state.
 
     :param log: receives a line when the source becomes unavailable or available again.
+    :ivar on_changed: called with the previous revision and the changes, each time the
+        contents have changed.
     :ivar revision: revision up to which all changes are known, 0 if nothing was read.
-    :ivar latest_item_revision: highest revision of any item received so far.
     :ivar failed_item_count: items whose handling failed unexpectedly.
-    :ivar is_unavailable: whether no call has succeeded since the latest failure.
+    :ivar reads_it: whether the latest call of this host has succeeded, None if it does
+        not read the source or has no result yet.
+    :ivar is_unavailable: whether neither this host nor any of its peers can read the
+        source.
     """
 
     __slots__ = (
-        "_behind_since",
+        "_can_watch",
         "_clock",
         "_failures",
-        "_can_watch",
+        "_is_reading",
         "_items",
         "_log",
+        "_peers_read_it",
         "_random",
+        "_removals",
+        "_removals_known_after",
         "_state",
         "failed_item_count",
         "is_unavailable",
-        "latest_item_revision",
+        "on_changed",
+        "reads_it",
         "revision",
         "source",
     )
@@ -69,31 +80,72 @@
         self._random = random
         self._log = log
         self._items: dict[str, SourceItem] = {}
+        self._removals: deque[SourceItem] = deque()
+        self._removals_known_after = 0
         self._can_watch = False
         self._failures = 0
-        self._behind_since: timedelta | None = None
+        self._is_reading = asyncio.Event()
+        self._peers_read_it: bool | None = None
+        self.on_changed: ChangesListener = lambda previous_revision, changes: None
+        self.reads_it: bool | None = None
         self.is_unavailable = False
         self.failed_item_count = 0
         self.revision = 0
-        self.latest_item_revision = 0
 
     @property
     def has_contents(self) -> bool:
         """Whether the contents are known, read by this host or received from a peer."""
         return self.revision > 0
 
+    @property
+    def is_reading(self) -> bool:
+        """Whether this host calls the source itself."""
+        return self._is_reading.is_set()
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether an item missing from the contents is known to be deleted."""
+        now = self._clock.monotonic()
+        return not (self.is_unavailable or self._state.registry.is_in_grace_period(now))
+
+    def set_reading(self, should_read: bool) -> None:
+        """Start or end the calls of this host; a waiting call is not cut off."""
+        if should_read == self.is_reading:
+            return
+        self._log.write(
+            "reading_started" if should_read else "reading_ended",
+            source=self.source.name,
+            revision=self.revision,
+        )
+        if should_read:
+            self._is_reading.set()
+        else:
+            self._is_reading.clear()
+            self.reads_it = None
+            self._failures = 0
+            self._update_availability("not read by this host")
+
+    def set_peers_read_it(self, peers_read_it: bool | None) -> None:
+        """Record whether any peer can read the source, None if that is unknown."""
+        self._peers_read_it = peers_read_it
+        self._update_availability("no peer can read it")
+
     async def run(self) -> None:
-        """Follow the source until cancelled."""
+        """Follow the source while this host should read it, until cancelled."""
         while True:
-            requested_revision = self.revision
-            if self._can_watch:
-                result = await self.source.watch(requested_revision)
-            else:
+            await self._is_reading.wait()
+            is_listing = not self._can_watch
+            if is_listing:
                 result = await self.source.read_all()
+            else:
+                result = await self.source.watch(self.revision)
             match result:
                 case Ok(changes):
                     self._record_recovery()
-                    self._apply_changes(changes, requested_revision)
+                    if is_listing:
+                        self._apply_listing(changes)
+                    else:
+                        self._apply_changes(changes)
                     if changes.items:
                         await asyncio.sleep(COALESCE_TIME.total_seconds())
                 case Err(HistoryGoneError()):
@@ -103,80 +155,93 @@
                     self._record_failure(str(error))
                     await asyncio.sleep(self._pick_retry_delay_s())
 
-    def get_contents(self) -> SourceContents | None:
-        """Return the contents for a peer, None if this host does not know them."""
-        if not self.has_contents:
-            return None
-        now = self._clock.monotonic()
-        is_confirmed = (
-            not self.is_unavailable and not self._state.registry.is_in_grace_period(now)
-        )
-        changes = SourceChanges(tuple(self._items.values()), self.revision)
-        return SourceContents(changes, is_confirmed)
+    def list_changes(self, after_revision: int) -> tuple[int, SourceChanges]:
+        """Return the changes after a revision for a peer.
 
-    def should_fetch_from_peer(self, peer_latest_item_revision: int) -> bool:
-        """Return whether the contents should be fetched from a peer.
+        :returns: the revision to which the changes apply, and the changes. If that
+            revision is 0, they are the whole contents.
+        """
+        if not 0 < self._removals_known_after <= after_revision:
+            return 0, SourceChanges(tuple(self._items.values()), self.revision)
+        changed = [
+            item
+            for item in (*self._items.values(), *self._removals)
+            if item.revision > after_revision
+        ]
+        changed.sort(key=lambda item: item.revision)
+        return after_revision, SourceChanges(tuple(changed), self.revision)
 
-        Also records since when this host has been behind its peers.
+    def apply_peer_changes(
+        self, after_revision: int, changes: SourceChanges, is_confirmed: bool
+    ) -> bool:
+        """Apply changes or whole contents that a peer has sent, if they are newer.
 
-        :param peer_latest_item_revision: highest revision of any item that the peer has
-            received.
-        :returns: True if this host has been behind for ``MAX_BEHIND_TIME``, or is
-            behind now and can't read the source itself.
+        :param after_revision: revision to which the changes apply, 0 for the whole
+            contents.
+        :param is_confirmed: as in ``is_confirmed`` of the peer.
+        :returns: False if changes are missing in between.
         """
-        if peer_latest_item_revision <= self.revision:
-            self._behind_since = None
+        if changes.revision <= self.revision:
+            return True
+        if after_revision > self.revision:
             return False
-        now = self._clock.monotonic()
-        if self._behind_since is None:
-            self._behind_since = now
-        return self.is_unavailable or now - self._behind_since >= MAX_BEHIND_TIME
-
-    def apply_peer_contents(self, contents: SourceContents) -> None:
-        """Replace the contents by those of a peer if these are newer."""
-        if contents.changes.revision <= self.revision:
-            return
+        if after_revision > 0:
+            self._apply_changes(changes)
+            return True
         self._log.write(
             "source_copied_from_peer",
             source=self.source.name,
-            revision=contents.changes.revision,
+            revision=changes.revision,
             own_revision=self.revision,
-            is_confirmed=contents.is_confirmed,
+            is_confirmed=is_confirmed,
         )
-        self._replace_items(contents.changes, contents.is_confirmed)
-
-    def _apply_changes(self, changes: SourceChanges, requested_revision: int) -> None:
-        if not self._can_watch:
-            if changes.revision >= self.revision:
-                # A missing item may have expired while the source was unavailable. The
-                # registry keeps its upstream, but only during the grace period.
-                self._replace_items(changes, is_confirmed=False)
-            self._can_watch = True
-            return
+        self._replace_items(changes, is_confirmed)
+        return True
+
+    def _apply_listing(self, listing: SourceChanges) -> None:
+        self._can_watch = True
+        if listing.revision >= self.revision:
+            # A missing item may have expired while the source was unavailable. The
+            # registry keeps its upstream, but only during the grace period.
+            self._replace_items(listing, is_confirmed=False)
+
+    def _apply_changes(self, changes: SourceChanges) -> None:
         now = self._clock.monotonic()
-        for item in changes.items:
-            known_item = self._items.get(item.key)
-            if known_item is not None and known_item.revision >= item.revision:
-                continue
-            # Contents of a peer replaced the items during the call and are newer than
-            # this change. The item is not in them, so it was removed after this change.
-            if (
-                known_item is None
-                and item.revision <= self.revision != requested_revision
-            ):
-                continue
+        previous_revision = self.revision
+        # Changes up to the own revision are part of the contents already. They arrive
+        # twice if a peer has sent them while a call of this host was waiting.
+        newer = [item for item in changes.items if item.revision > previous_revision]
+        for item in newer:
             self._apply_item(item, now)
-        self._set_revision(max(self.revision, changes.revision))
+        if changes.revision > previous_revision:
+            self._set_revision(changes.revision)
+            changed = SourceChanges(tuple(newer), changes.revision)
+            self.on_changed(previous_revision, changed)
 
     def _replace_items(self, listing: SourceChanges, is_confirmed: bool) -> None:
         now = self._clock.monotonic()
+        previous_revision = self.revision
         listed_keys = {item.key for item in listing.items}
-        for key in [key for key in self._items if key not in listed_keys]:
-            self._apply_item(SourceItem(key, listing.revision, None), now, is_confirmed)
+        changed = [
+            SourceItem(key, listing.revision, None)
+            for key in self._items
+            if key not in listed_keys
+        ]
+        for item in changed:
+            self._apply_item(item, now, is_confirmed)
         for item in listing.items:
-            self._apply_item(item, now)
-        self._set_revision(listing.revision)
+            known = self._items.get(item.key)
+            if known is None or known.revision < item.revision:
+                self._apply_item(item, now)
+                changed.append(item)
+        if previous_revision == 0:
+            self._removals_known_after = listing.revision
         self._can_watch = True
+        self._set_revision(max(self.revision, listing.revision))
+        if changed or self.revision > previous_revision:
+            self.on_changed(
+                previous_revision, SourceChanges(tuple(changed), self.revision)
+            )
 
     def _set_revision(self, revision: int) -> None:
         self.revision = revision
@@ -187,9 +252,14 @@
     ) -> None:
         if item.value is None:
             self._items.pop(item.key, None)
+            self._removals.append(item)
+            if len(self._removals) > MAX_REMEMBERED_REMOVALS:
+                forgotten = self._removals.popleft()
+                self._removals_known_after = max(
+                    self._removals_known_after, forgotten.revision
+                )
         else:
             self._items[item.key] = item
-        self.latest_item_revision = max(self.latest_item_revision, item.revision)
         try:
             change = self.source.decode(item)
             if change is not None:
@@ -207,16 +277,34 @@
             )
 
     def _record_failure(self, reason: str) -> None:
+        if not self.is_reading:
+            return
         self._failures += 1
-        if not self.is_unavailable:
-            self.is_unavailable = True
-            self._state.registry.mark_source_lost()
-            self._log.write("source_lost", source=self.source.name, reason=reason)
+        self.reads_it = False
+        self._update_availability(reason)
 
     def _record_recovery(self) -> None:
+        if not self.is_reading:
+            return
         self._failures = 0
-        if self.is_unavailable:
-            self.is_unavailable = False
+        self.reads_it = True
+        self._update_availability("")
+
+    def _update_availability(self, reason: str) -> None:
+        """Report the loss or the return of the source to the registry and the log."""
+        if self.reads_it or self._peers_read_it:
+            is_unavailable = False
+        elif self.reads_it is False or self._peers_read_it is False:
+            is_unavailable = True
+        else:
+            return
+        if is_unavailable == self.is_unavailable:
+            return
+        self.is_unavailable = is_unavailable
+        if is_unavailable:
+            self._state.registry.mark_source_lost()
+            self._log.write("source_lost", source=self.source.name, reason=reason)
+        else:
             self._state.registry.mark_source_back(self._clock.monotonic())
             self._log.write(
                 "source_back", source=self.source.name, revision=self.revision
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/link_messages.py
@@ -0,0 +1,90 @@
+"""Messages on the links between hosts, as JSON."""
+
+from typing import Annotated
+
+import msgspec
+
+from celeryferry_core.decoding import JsonDecoder
+from celeryferry_core.forwarding.hosts import HostInfo, HostsUpdate
+from celeryferry_daemon._internal.forwarding.ports import SourceItem
+
+Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
+class SourceStatus(msgspec.Struct, frozen=True, gc=False, array_like=True):
+    """How far a host has followed a source.
+
+    :param revision: revision that its contents reflect, 0 without contents.
+    :param heard_revision: highest revision that it has heard of.
+    :param reads_it: whether its own latest call of the source has succeeded.
+    :param is_available: whether the source can be read by it or by a host that it has a
+        link to.
+    """
+
+    revision: Revision
+    heard_revision: Revision
+    reads_it: bool
+    is_available: bool
+
+
+class Hello(msgspec.Struct, frozen=True, gc=False, tag="hello"):
+    """First message of both ends of a link: who they are."""
+
+    host: HostInfo
+
+
+class Tick(msgspec.Struct, frozen=True, gc=False, tag="tick"):
+    """Sent regularly, so that the other end sees that the link works.
+
+    :param sources: state of the sources by name.
+    """
+
+    sources: dict[str, SourceStatus]
+
+
+class ContentsUpdate(msgspec.Struct, frozen=True, gc=False, tag="contents"):
+    """Items of a source.
+
+    :param after: revision that the receiver must have for these changes, 0 if the items
+        are the whole contents.
+    :param revision: revision that the receiver has afterwards.
+    :param is_confirmed: False while the sender can't read the source, and for some time
+        after that. A missing item may then have expired instead of being deleted.
+    """
+
+    source: str
+    after: Revision
+    revision: Revision
+    items: tuple[SourceItem, ...]
+    is_confirmed: bool
+
+
+class ContentsRequest(msgspec.Struct, frozen=True, gc=False, tag="request"):
+    """Asks for the changes after a revision, or for all items if it is 0."""
+
+    source: str
+    after: Revision
+
+
+class SeedQuestion(msgspec.Struct, frozen=True, gc=False):
+    """Announces a host to a seed and asks for relays.
+
+    :param wants_all: whether to answer with the relays of all domains.
+    """
+
+    host: HostInfo
+    wants_all: bool
+
+
+class SeedAnswer(msgspec.Struct, frozen=True, gc=False):
+    """Relays that a seed knows."""
+
+    relays: tuple[HostInfo, ...]
+
+
+LinkMessage = Hello | Tick | HostsUpdate | ContentsUpdate | ContentsRequest
+
+LINK_DECODER: JsonDecoder[LinkMessage] = JsonDecoder(LinkMessage)
+QUESTION_DECODER = JsonDecoder(SeedQuestion)
+ANSWER_DECODER = JsonDecoder(SeedAnswer)
+ENCODER = msgspec.json.Encoder()
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/ports.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/ports.py
@@ -48,19 +48,6 @@
     revision: int
 
 
-class SourceContents(msgspec.Struct, frozen=True, gc=False):
-    """Contents of a source at one revision, passed from one host to another.
-
-    :param changes: all items and the revision that they reflect.
-    :param is_confirmed: False while the sending host can't read the source, and during
-        the grace period after that. An item that is missing may then have expired
-        instead of being deleted.
-    """
-
-    changes: SourceChanges
-    is_confirmed: bool
-
-
 class UpstreamListed(msgspec.Struct, frozen=True, gc=False):
     """The item of an upstream was added or changed.
 
--- /dev/null
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
@@ -0,0 +1,161 @@
+"""Shares the contents of one source between this host and its peers."""
+
+from datetime import timedelta
+
+from celeryferry_core.forwarding.hosts import LinkRole
+from celeryferry_core.forwarding.reading import (
+    MAX_BEHIND_TIME,
+    ReadingInputs,
+    RelayReport,
+    should_read,
+)
+from celeryferry_daemon._internal.forwarding.follower import SourceFollower
+from celeryferry_daemon._internal.forwarding.link_messages import (
+    ContentsRequest,
+    ContentsUpdate,
+    SourceStatus,
+)
+from celeryferry_daemon._internal.forwarding.ports import SourceChanges
+
+# A request for contents that was not answered within this time is sent again.
+REQUEST_TIMEOUT = timedelta(seconds=1)
+
+
+class SharedSource:
+    """Knows how far the peers have followed a source, and who reads it.
+
+    Arguments named ``now`` are monotonic times.
+
+    :param follower: follower of the source at this host.
+    :param now: time of the start.
+    """
+
+    __slots__ = (
+        "_behind_since",
+        "_heard_revision",
+        "_report",
+        "_report_since",
+        "_requested_at",
+        "_statuses",
+        "follower",
+    )
+
+    def __init__(self, follower: SourceFollower, now: timedelta) -> None:
+        self.follower = follower
+        self._statuses: dict[int, tuple[LinkRole, SourceStatus]] = {}
+        self._heard_revision = 0
+        self._behind_since: timedelta | None = None
+        self._requested_at: timedelta | None = None
+        self._report = RelayReport.NO_RELAY
+        self._report_since = now
+
+    def make_status(self) -> SourceStatus:
+        """Return how far this host is, for its peers."""
+        reads_it = self.follower.reads_it is True
+        is_available = reads_it or any(
+            status.reads_it for _, status in self._statuses.values()
+        )
+        revision = self.follower.revision
+        heard_revision = max(revision, self._heard_revision)
+        return SourceStatus(revision, heard_revision, reads_it, is_available)
+
+    def record_status(
+        self, link_id: int, role: LinkRole, status: SourceStatus, now: timedelta
+    ) -> ContentsRequest | None:
+        """Record how far a peer is.
+
+        :returns: request to send to this peer, None if its contents are not needed.
+        """
+        self._statuses[link_id] = (role, status)
+        self._heard_revision = max(
+            self._heard_revision, status.heard_revision, status.revision
+        )
+        own_revision = self.follower.revision
+        if status.revision <= own_revision:
+            return None
+        is_own_relay = role is LinkRole.TO_RELAY
+        is_late = self._get_behind_time(now) >= MAX_BEHIND_TIME
+        if not (is_own_relay or is_late or not self.follower.reads_it):
+            return None
+        requested_at = self._requested_at
+        if requested_at is not None and now - requested_at < REQUEST_TIMEOUT:
+            return None
+        self._requested_at = now
+        return ContentsRequest(self.follower.source.name, own_revision)
+
+    def drop_link(self, link_id: int) -> None:
+        """Forget the status of a peer whose link has ended."""
+        self._statuses.pop(link_id, None)
+
+    def apply(self, update: ContentsUpdate) -> ContentsRequest | None:
+        """Apply contents or changes that a peer has sent.
+
+        :returns: request for the whole contents if changes are missing in between.
+        """
+        changes = SourceChanges(update.items, update.revision)
+        self._heard_revision = max(self._heard_revision, update.revision)
+        if self.follower.apply_peer_changes(update.after, changes, update.is_confirmed):
+            self._requested_at = None
+            return None
+        return ContentsRequest(update.source, self.follower.revision)
+
+    def make_update(self, after: int, changes: SourceChanges) -> ContentsUpdate:
+        """Return changes as a message for peers."""
+        return ContentsUpdate(
+            self.follower.source.name,
+            after,
+            changes.revision,
+            changes.items,
+            self.follower.is_confirmed,
+        )
+
+    def answer(self, request: ContentsRequest) -> ContentsUpdate:
+        """Return what a peer has asked for."""
+        after, changes = self.follower.list_changes(request.after)
+        return self.make_update(after, changes)
+
+    def update(self, is_relay: bool, rank: int, now: timedelta) -> None:
+        """Decide whether this host reads the source.
+
+        :param is_relay: whether other hosts rely on this one.
+        :param rank: position among the candidates for relays of the domain.
+        """
+        report = self._make_report()
+        if report is not self._report:
+            self._report, self._report_since = report, now
+        inputs = ReadingInputs(
+            is_relay=is_relay,
+            rank=rank,
+            has_contents=self.follower.has_contents,
+            report=report,
+            report_age=now - self._report_since,
+            behind_for=self._get_behind_time(now),
+        )
+        self.follower.set_reading(should_read(inputs))
+        self.follower.set_peers_read_it(self._do_peers_read_it())
+
+    def _get_behind_time(self, now: timedelta) -> timedelta:
+        if self._heard_revision <= self.follower.revision:
+            self._behind_since = None
+            return timedelta(0)
+        if self._behind_since is None:
+            self._behind_since = now
+        return now - self._behind_since
+
+    def _make_report(self) -> RelayReport:
+        reported = [
+            status.is_available
+            for role, status in self._statuses.values()
+            if role is LinkRole.TO_RELAY
+        ]
+        if not reported:
+            return RelayReport.NO_RELAY
+        return RelayReport.AVAILABLE if any(reported) else RelayReport.UNAVAILABLE
+
+    def _do_peers_read_it(self) -> bool | None:
+        if not self._statuses:
+            return None
+        return any(
+            status.reads_it or (role is LinkRole.TO_RELAY and status.is_available)
+            for role, status in self._statuses.values()
+        )
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
@@ -9,7 +9,7 @@
 from celeryferry_core.forwarding.budgets import ExtraAttemptBudgets
 from celeryferry_core.forwarding.models import ForwardingConfiguration
 from celeryferry_core.forwarding.registry import UpstreamRegistry
-from celeryferry_core.forwarding.rules import RuleTable
+from celeryferry_core.forwarding.rules import RuleTable, list_services
 from celeryferry_core.forwarding.selection import UpstreamSelector
 from celeryferry_core.forwarding.session import SessionContext
 from celeryferry_core.forwarding.timing import TimesByRule
@@ -36,6 +36,7 @@
     :param log: receives one line per change.
     :ivar configuration: configuration in force, None until the first is received.
     :ivar rules: rules of the configuration in force.
+    :ivar services: services that these rules name.
     :ivar rejected_count: invalid items so far, each counted once while it stays
         invalid.
     :ivar registry: upstreams listed by the sources.
@@ -45,6 +46,7 @@
     """
 
     __slots__ = (
+        "_host_id",
         "_log",
         "_pool",
         "_rejected_keys",
@@ -53,6 +55,7 @@
         "session_context",
         "registry",
         "rules",
+        "services",
         "warmup",
     )
 
@@ -63,10 +66,12 @@
         pool: UpstreamPool,
         log: LogWriter,
     ) -> None:
+        self._host_id = settings.host_id
         self._pool = pool
         self._log = log
         self.configuration: ForwardingConfiguration | None = None
         self.rules = RuleTable(())
+        self.services: frozenset[str] = frozenset()
         self._rejected_keys: set[str] = set()
         self.rejected_count = 0
         self.registry = UpstreamRegistry()
@@ -86,14 +91,27 @@
             settings.extra_ratio, settings.extra_burst
         )
 
-    def set_live_hosts(self, host_ids: tuple[str, ...]) -> None:
+    def set_fleet(
+        self, live_count: int, sender_ids: frozenset[str], sharing_count: int
+    ) -> None:
         """Set the hosts that share the limits of the upstreams and the budgets.
 
-        :param host_ids: ids of the live hosts, including this one.
+        A host outside the entry sets seldom gets a request, so its budget is the one
+        that it would have if all hosts sent.
+
+        :param live_count: number of live hosts, including this one.
+        :param sender_ids: ids of the hosts that callers are sent to or that report a
+            load.
+        :param sharing_count: number of hosts that share the limits.
         """
-        self.warmup.host_ids = host_ids
-        self.session_context.selector.host_count = len(host_ids)
-        self.session_context.budgets.host_count = len(host_ids)
+        is_sender = self._host_id in sender_ids
+        if not is_sender:
+            sharing_count += 1
+        self.warmup.host_ids = tuple(sorted(sender_ids)) or (self._host_id,)
+        self.session_context.selector.host_count = sharing_count
+        self.session_context.budgets.host_count = (
+            sharing_count if is_sender else max(live_count, sharing_count)
+        )
 
     def apply(self, change: Change, now: timedelta, is_confirmed: bool = False) -> None:
         """Apply one change of a source.
@@ -156,6 +174,7 @@
             return
         self.configuration = configuration
         self.rules = RuleTable(configuration.rules)
+        self.services = list_services(configuration.rules)
         self.session_context.selector.services = configuration.services
         names = frozenset(rule.name for rule in configuration.rules)
         self.session_context.times.keep_only(names)
--- /dev/null
+++ b/tests/core/test_reading.py
@@ -0,0 +1,80 @@
+"""Tests of the decision whether a host reads a source itself."""
+
+import unittest
+from datetime import timedelta
+
+from celeryferry_core.forwarding.reading import (
+    CONTENTS_WAIT,
+    EXTRA_READER_COUNT,
+    ISOLATION_TIME,
+    MAX_BEHIND_TIME,
+    ReadingInputs,
+    RelayReport,
+    should_read,
+)
+from celeryferry_core.forwarding.relays import RELAY_COUNT
+
+# Time in which a configuration must be in force, with the smallest bound in use.
+APPLY_TIME = timedelta(seconds=3)
+# Time that the read and the transfer of its result take at most.
+READ_TIME = timedelta(seconds=1)
+
+
+def decide(**changes) -> bool:
+    """Return the decision for a member with contents, with changed inputs."""
+    inputs = {
+        "is_relay": False,
+        "rank": 20,
+        "has_contents": True,
+        "report": RelayReport.AVAILABLE,
+        "report_age": timedelta(seconds=60),
+    }
+    return should_read(ReadingInputs(**(inputs | changes)))
+
+
+class TestShouldRead(unittest.TestCase):
+    """Guards against calls of every host, and against hosts that nobody informs."""
+
+    def test_relays_read_and_members_do_not(self):
+        self.assertTrue(decide(is_relay=True, rank=0))
+        self.assertTrue(decide(is_relay=True, rank=1))
+        self.assertFalse(decide())
+
+    def test_member_without_relays_reads_in_time(self):
+        """Guards against a configuration that is late because the readers are gone."""
+        for rank in range(200):
+            limit = APPLY_TIME - READ_TIME
+            self.assertTrue(
+                decide(rank=rank, report=RelayReport.NO_RELAY, report_age=limit)
+            )
+            self.assertFalse(
+                decide(
+                    rank=rank,
+                    report=RelayReport.NO_RELAY,
+                    report_age=ISOLATION_TIME - timedelta(milliseconds=1),
+                )
+            )
+
+    def test_few_members_try_while_the_relays_fail(self):
+        """Guards against calls of every host while the source is down."""
+        readers = [
+            rank
+            for rank in range(2, 200)
+            if decide(rank=rank, report=RelayReport.UNAVAILABLE)
+        ]
+        self.assertEqual(readers, [2, 3])
+        self.assertEqual(RELAY_COUNT + EXTRA_READER_COUNT, 4)
+
+    def test_member_that_is_behind_reads(self):
+        """Guards against relays that are available but have missed a change."""
+        self.assertTrue(decide(behind_for=MAX_BEHIND_TIME))
+        self.assertLess(MAX_BEHIND_TIME, APPLY_TIME - READ_TIME)
+
+    def test_second_relay_waits_for_the_first_at_the_start(self):
+        waiting = {"is_relay": True, "has_contents": False}
+        early = timedelta(0)
+        self.assertTrue(decide(**waiting, rank=0, report_age=early))
+        self.assertFalse(decide(**waiting, rank=1, report_age=early))
+        self.assertTrue(decide(**waiting, rank=1, report_age=CONTENTS_WAIT))
+        alone = RelayReport.NO_RELAY
+        self.assertTrue(decide(**waiting, rank=1, report=alone, report_age=early))
--- /dev/null
+++ b/tests/daemon/test_sharing.py
@@ -0,0 +1,175 @@
+"""Tests of how hosts share the contents of a source."""
+
+import random
+import unittest
+from datetime import timedelta
+
+from celeryferry_core.forwarding.hosts import LinkRole
+from celeryferry_core.forwarding.reading import ISOLATION_TIME, MAX_BEHIND_TIME
+from celeryferry_daemon._internal.clock import SystemClock
+from celeryferry_daemon._internal.forwarding.follower import SourceFollower
+from celeryferry_daemon._internal.forwarding.link_messages import SourceStatus
+from celeryferry_daemon._internal.forwarding.pool import UpstreamPool
+from celeryferry_daemon._internal.forwarding.ports import SourceChanges
+from celeryferry_daemon._internal.forwarding.sharing import (
+    REQUEST_TIMEOUT,
+    SharedSource,
+)
+from celeryferry_daemon._internal.forwarding.state import HostState
+from tests.daemon.test_forwarding_sources import (
+    RecordingLog,
+    ScriptedSource,
+    make_entry,
+    make_removal,
+    make_settings,
+)
+
+NOW = timedelta(seconds=100)
+RANK_OF_A_MEMBER = 10
+
+
+def make_status(revision: int, reads_it=True, is_available=True, heard=0):
+    """Return the status of a peer."""
+    return SourceStatus(revision, max(heard, revision), reads_it, is_available)
+
+
+class SharingTestCase(unittest.IsolatedAsyncioTestCase):
+    """Makes hosts that share a source without links."""
+
+    def make_host(self) -> SharedSource:
+        log, clock, source = RecordingLog(), SystemClock(), ScriptedSource()
+        random_source = random.Random(1)
+        state = HostState(make_settings(), random_source, UpstreamPool(clock), log)
+        follower = SourceFollower(source, state, clock, random_source, log)
+        return SharedSource(follower, NOW)
+
+    def fill(self, shared: SharedSource, revision: int, *items):
+        """Give a host its contents."""
+        changes = SourceChanges(items, revision)
+        shared.follower.apply_peer_changes(0, changes, True)
+
+    async def asyncSetUp(self):
+        self.shared = self.make_host()
+
+    def update(self, now: timedelta = NOW, is_relay=False, rank=RANK_OF_A_MEMBER):
+        """Decide anew; returns whether the host reads the source."""
+        self.shared.update(is_relay, rank, now)
+        return self.shared.follower.is_reading
+
+
+class TestReaders(SharingTestCase):
+    """Guards against calls of every host, and against hosts that nobody informs."""
+
+    async def test_member_with_a_relay_makes_no_call(self):
+        self.shared.record_status(1, LinkRole.TO_RELAY, make_status(0), NOW)
+        self.assertFalse(self.update())
+        self.assertFalse(self.update(NOW + timedelta(seconds=60)))
+
+    async def test_member_whose_relays_are_gone_reads(self):
+        self.shared.record_status(1, LinkRole.TO_RELAY, make_status(0), NOW)
+        self.update()
+        self.shared.drop_link(1)
+        self.assertFalse(self.update())
+        late = NOW + ISOLATION_TIME + timedelta(milliseconds=500)
+        self.assertTrue(self.update(late))
+        self.shared.record_status(2, LinkRole.TO_RELAY, make_status(0), late)
+        self.assertFalse(self.update(late), "it stops once it has a relay again")
+
+    async def test_member_behind_its_relays_reads(self):
+        """Guards against relays whose watches hang without a sign."""
+        self.fill(self.shared, 5, make_entry("s0-a", 3))
+        status = make_status(5, heard=9)
+        self.shared.record_status(1, LinkRole.TO_RELAY, status, NOW)
+        self.assertFalse(self.update())
+        self.assertTrue(self.update(NOW + MAX_BEHIND_TIME))
+
+    async def test_only_own_calls_are_passed_on_as_proof(self):
+        """Guards against two relays that confirm to each other that they can read."""
+        status = make_status(0, reads_it=False, is_available=True)
+        self.shared.record_status(1, LinkRole.TO_RELAY, status, NOW)
+        self.update()
+        self.assertFalse(self.shared.make_status().is_available)
+        reading = make_status(0, reads_it=True)
+        self.shared.record_status(2, LinkRole.FROM_MEMBER, reading, NOW)
+        self.assertTrue(self.shared.make_status().is_available)
+
+    async def test_source_is_lost_only_if_no_peer_reads_it(self):
+        lost = make_status(0, reads_it=False, is_available=False)
+        self.shared.record_status(1, LinkRole.TO_RELAY, lost, NOW)
+        self.update()
+        self.assertTrue(self.shared.follower.is_unavailable)
+        self.shared.record_status(2, LinkRole.TO_RELAY, make_status(0), NOW)
+        self.update()
+        self.assertFalse(self.shared.follower.is_unavailable)
+
+
+class TestContents(SharingTestCase):
+    """Guards against hosts that miss a change, or that go back to an older state."""
+
+    def list_ids(self, shared: SharedSource) -> set[str]:
+        registry = shared.follower._state.registry
+        return set(registry.list_service("s0"))
+
+    def exchange(self, sender: SharedSource, after: int, changes: SourceChanges):
+        """Send an update; requests of the receiver are answered."""
+        request = self.shared.apply(sender.make_update(after, changes))
+        while request is not None:
+            request = self.shared.apply(sender.answer(request))
+
+    async def test_missed_update_is_asked_for(self):
+        sender = self.make_host()
+        sent = []
+        sender.follower.on_changed = lambda *change: sent.append(change)
+        self.fill(sender, 5, make_entry("s0-a", 3))
+        sender.follower.apply_peer_changes(
+            5, SourceChanges((make_entry("s0-b", 6),), 6), True
+        )
+        sender.follower.apply_peer_changes(
+            6, SourceChanges((make_removal("s0-a", 7),), 7), True
+        )
+        self.assertEqual([after for after, _ in sent], [0, 5, 6])
+        self.exchange(sender, *sent[0])
+        self.exchange(sender, *sent[2])
+        self.assertEqual(self.list_ids(self.shared), {"s0-b"})
+        self.exchange(sender, *sent[1])
+        self.assertEqual(self.list_ids(self.shared), {"s0-b"})
+        self.assertEqual(self.shared.follower.revision, 7)
+
+    async def test_whole_contents_of_an_older_revision_are_ignored(self):
+        sender = self.make_host()
+        self.fill(self.shared, 9, make_entry("s0-a", 9))
+        self.fill(sender, 5, make_entry("s0-b", 3))
+        self.exchange(sender, *sender.follower.list_changes(0))
+        self.assertEqual(self.list_ids(self.shared), {"s0-a"})
+
+    async def test_contents_are_asked_for_once_at_a_time(self):
+        """Guards against asking again at every tick while an answer is on its way."""
+        roles = (LinkRole.TO_RELAY, LinkRole.TO_RELAY)
+        requests = [
+            self.shared.record_status(link_id, role, make_status(5), NOW)
+            for link_id, role in enumerate(roles)
+        ]
+        self.assertEqual([request is None for request in requests], [False, True])
+        late = NOW + REQUEST_TIMEOUT
+        request = self.shared.record_status(1, LinkRole.TO_RELAY, make_status(5), late)
+        self.assertEqual(request.after, 0)
+
+    async def test_reader_asks_other_domains_only_if_it_is_late(self):
+        """Guards against contents that cross domains although each has its readers."""
+        self.fill(self.shared, 5, make_entry("s0-a", 3))
+        self.shared.follower.set_reading(True)
+        self.shared.follower.reads_it = True
+        ask = self.shared.record_status
+        role = LinkRole.BETWEEN_DOMAINS
+        self.assertIsNone(ask(1, role, make_status(6), NOW))
+        self.assertIsNotNone(ask(1, role, make_status(6), NOW + MAX_BEHIND_TIME))
+
+    async def test_reader_that_is_refused_asks_other_domains_at_once(self):
+        """Guards against missing a drain while the source refuses this host's calls."""
+        self.fill(self.shared, 5, make_entry("s0-a", 3))
+        self.shared.follower.set_reading(True)
+        self.shared.follower.reads_it = False
+        request = self.shared.record_status(
+            1, LinkRole.BETWEEN_DOMAINS, make_status(6), NOW
+        )
+        self.assertEqual(request.after, 5)
