Serve at once after a start, and join fleets whose hosts start together

Change: each host reads the contents once at its start, with reads that cost a tenth and may be seconds old; the watch or the relays bring it up to date. A host without links asks a seed every 100 ms. A host becomes ready with its first contents instead of at the next housekeeping. A former relay names the relays to its members.

--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/fleet.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/fleet.py
@@ -14,6 +14,7 @@
     HostsUpdate,
     HostTable,
     LinkRole,
+    RelaysUpdate,
     Scope,
 )
 from celeryferry_core.forwarding.relays import RELAY_COUNT, rank_relays
@@ -29,13 +30,17 @@
 # The relay whose domain comes first by name connects; the other one does so only if
 # there is no link after this time, for it may not be known there.
 ACCEPT_TIME = timedelta(seconds=1)
-# Intervals between questions to seeds: of a host without any link, of a relay that has
-# just started, and of a relay later, which joins the parts of a fleet again after a
-# partition.
-ALONE_INTERVAL = timedelta(milliseconds=500)
+# Intervals between questions to seeds: of a host without any link (short, since all
+# hosts may have just started, the seeds last), of a relay that has just started, and of
+# a relay later, which joins the parts of a fleet again after a partition.
+ALONE_INTERVAL = timedelta(milliseconds=100)
 NEW_RELAY_INTERVAL = timedelta(seconds=1)
 RELAY_INTERVAL = timedelta(seconds=10)
 NEW_RELAY_TIME = timedelta(seconds=5)
+# Interval between the messages by which a former relay sends its members away.
+REDIRECT_INTERVAL = timedelta(milliseconds=500)
+# Time after the start from which a host without any link relays for itself.
+SETTLING_TIME = timedelta(milliseconds=500)
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,7 +67,7 @@
     """Send a report on some links."""
 
     link_ids: tuple[int, ...]
-    update: HostsUpdate
+    update: HostsUpdate | RelaysUpdate
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +113,7 @@
         "_opening",
         "_published",
         "_random",
+        "_redirected_at",
         "_relay_since",
         "_unreachable_until",
         "_wanted_since",
@@ -141,6 +147,7 @@
         }
         self._checked_at = started_at
         self._asked_at: timedelta | None = None
+        self._redirected_at: timedelta | None = None
         self._relay_since: timedelta | None = None
 
     def list_links(self, *roles: LinkRole) -> tuple[int, ...]:
@@ -301,7 +308,7 @@
             local_ids.index(own.host_id) if own.host_id in local_ids else len(local_ids)
         )
         has_members = bool(self.list_links(LinkRole.FROM_MEMBER))
-        is_settled = bool(self._links) or now - self.started_at >= ALONE_INTERVAL
+        is_settled = bool(self._links) or now - self.started_at >= SETTLING_TIME
         self.is_relay = has_members or (is_settled and self.rank < RELAY_COUNT)
         if not self.is_relay:
             self._relay_since = None
@@ -328,8 +335,25 @@
             self._opening[host_id] = action.role
             actions.append(action)
         actions += self._close_surplus(wanted, now)
+        actions += self._redirect_members(local[:RELAY_COUNT], now)
         return actions
 
+    def _redirect_members(self, relays: list[HostInfo], now: timedelta) -> list[Action]:
+        """Name the relays to the members of this host if it is not one of them.
+
+        Members know of other hosts only what their relays report, so those of a former
+        relay would not learn of the better ones.
+        """
+        members = self.list_links(LinkRole.FROM_MEMBER)
+        is_recent = (
+            self._redirected_at is not None
+            and now - self._redirected_at < REDIRECT_INTERVAL
+        )
+        if not members or self.rank < RELAY_COUNT or is_recent:
+            return []
+        self._redirected_at = now
+        return [SendUpdate(members, RelaysUpdate(tuple(relays)))]
+
     def _list_wanted_remote(
         self, candidates: list[HostInfo], now: timedelta
     ) -> dict[str, OpenLink]:
@@ -384,7 +408,8 @@
             self._asked_at is not None and now - self._asked_at < interval
         ):
             return []
+        if is_alone and self._asked_at is None:
+            self._asked_at = now
+            return [AskSeeds(tuple(seeds), False)]
         self._asked_at = now
-        if is_alone:
-            return [AskSeeds(tuple(seeds), self.is_relay)]
         return [AskSeeds((seeds[self._random.randrange(len(seeds))],), True)]
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/hosts.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/hosts.py
@@ -100,6 +100,15 @@
     gone: tuple[str, ...] = ()
 
 
+class RelaysUpdate(msgspec.Struct, frozen=True, gc=False, tag="relays"):
+    """Relays that a former relay names to its members, so that they connect there.
+
+    :param hosts: relays of the domain, the best first.
+    """
+
+    hosts: tuple[HostInfo, ...]
+
+
 @dataclass(slots=True)
 class _View:
     role: LinkRole
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/reading.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/reading.py
@@ -16,8 +16,6 @@
 MAX_STAGGER_COUNT = 5
 # Time after which a host that knows of later changes than its own reads the source.
 MAX_BEHIND_TIME = timedelta(seconds=1)
-# Time for which a relay that has just started waits for the contents from another one.
-CONTENTS_WAIT = timedelta(milliseconds=300)
 
 
 class RelayReport(StrEnum):
@@ -34,7 +32,6 @@
 
     :param is_relay: whether other hosts rely on this one.
     :param rank: position among the candidates for relays of the domain, 0 for the best.
-    :param has_contents: whether this host knows the contents already.
     :param report: latest report of its relays.
     :param report_age: time since this kind of report began.
     :param behind_for: time since this host has known of changes that it lacks, zero if
@@ -43,19 +40,21 @@
 
     is_relay: bool
     rank: int
-    has_contents: bool
     report: RelayReport
     report_age: timedelta
     behind_for: timedelta = timedelta(0)
 
 
 def should_read(inputs: ReadingInputs) -> bool:
-    """Return whether a host should read the source itself."""
+    """Return whether a host should follow the source by its own calls.
+
+    At its start, each host reads the contents once in any case, so that it can serve
+    before it has found its relays.
+    """
     if inputs.behind_for >= MAX_BEHIND_TIME:
         return True
     if inputs.is_relay:
-        may_wait = inputs.rank > 0 and inputs.report is not RelayReport.NO_RELAY
-        return inputs.has_contents or not may_wait or inputs.report_age >= CONTENTS_WAIT
+        return True
     match inputs.report:
         case RelayReport.AVAILABLE:
             return False
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
@@ -94,6 +94,7 @@
             self._clock,
             self._random,
             self._log,
+            lambda: self.is_ready,
         )
         self._callers = CallersHandler(
             self._state,
@@ -189,7 +190,6 @@
 
     async def _run_housekeeping(self) -> None:
         while True:
-            self._peers.report_readiness(self.is_ready)
             self._state.drop_missing_upstreams(self._clock.monotonic())
             self._pool.close_expired()
             await asyncio.sleep(HOUSEKEEPING_INTERVAL.total_seconds())
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
@@ -131,9 +131,10 @@
         self._update_availability("no peer can read it")
 
     async def run(self) -> None:
-        """Follow the source while this host should read it, until cancelled."""
+        """Read the source once, then follow it while this host should read it."""
         while True:
-            await self._is_reading.wait()
+            if self.has_contents:
+                await self._is_reading.wait()
             is_listing = not self._can_watch
             if is_listing:
                 result = await self.source.read_all()
@@ -144,8 +145,8 @@
                     self._record_recovery()
                     if is_listing:
                         self._apply_listing(changes)
-                    else:
-                        self._apply_changes(changes)
+                        continue
+                    self._apply_changes(changes)
                     if changes.items:
                         await asyncio.sleep(COALESCE_TIME.total_seconds())
                 case Err(HistoryGoneError()):
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/link_messages.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/link_messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from celeryferry_core.decoding import JsonDecoder
-from celeryferry_core.forwarding.hosts import HostInfo, HostsUpdate
+from celeryferry_core.forwarding.hosts import HostInfo, HostsUpdate, RelaysUpdate
 from celeryferry_daemon._internal.forwarding.ports import SourceItem
 
 Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
@@ -82,7 +82,9 @@
     relays: tuple[HostInfo, ...]
 
 
-LinkMessage = Hello | Tick | HostsUpdate | ContentsUpdate | ContentsRequest
+LinkMessage = (
+    Hello | Tick | HostsUpdate | RelaysUpdate | ContentsUpdate | ContentsRequest
+)
 
 LINK_DECODER: JsonDecoder[LinkMessage] = JsonDecoder(LinkMessage)
 QUESTION_DECODER = JsonDecoder(SeedQuestion)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
@@ -1,6 +1,7 @@
 """Network of links to the other hosts of the fleet."""
 
 import asyncio
+from collections.abc import Callable
 from datetime import timedelta
 from functools import partial
 from itertools import count
@@ -26,6 +27,7 @@
     HostsUpdate,
     HostTable,
     LinkRole,
+    RelaysUpdate,
 )
 from celeryferry_core.forwarding.load import LoadMeter
 from celeryferry_daemon._internal.bodies import read_bounded
@@ -73,14 +75,15 @@
     :param followers: followers of the sources, by name of the source.
     :param state: receives the hosts that share the limits of the upstreams.
     :param log: receives a line when links or the set of live hosts change.
+    :param is_ready: returns whether this host serves callers.
     :ivar entry_sets: hosts that callers are sent to.
-    :ivar is_ready: whether this host serves callers.
     """
 
     __slots__ = (
         "_clock",
         "_fleet",
         "_is_leaving",
+        "_is_ready",
         "_link_numbers",
         "_links",
         "_load",
@@ -93,7 +96,6 @@
         "_table",
         "_tasks",
         "entry_sets",
-        "is_ready",
     )
 
     def __init__(
@@ -105,6 +107,7 @@
         clock: Clock,
         random: RandomSource,
         log: LogWriter,
+        is_ready: Callable[[], bool],
     ) -> None:
         now = clock.monotonic()
         self._table = HostTable(own)
@@ -125,8 +128,8 @@
         self._settle_timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task] = set()
         self._is_leaving = False
+        self._is_ready = is_ready
         self.entry_sets = EntrySets()
-        self.is_ready = False
 
     async def run(self) -> None:
         """Keep the links until cancelled."""
@@ -148,16 +151,8 @@
     def announce_leaving(self) -> None:
         """Report immediately that this host is stopping."""
         self._is_leaving = True
-        self._update_own()
         self._settle()
 
-    def report_readiness(self, is_ready: bool) -> None:
-        """Report a change of this host's readiness without waiting for a tick."""
-        if is_ready != self.is_ready:
-            self.is_ready = is_ready
-            self._update_own()
-            self._schedule_settling()
-
     def make_routes(self) -> list[web.RouteDef]:
         """Return the routes of the listener for peers."""
         return [
@@ -166,7 +161,6 @@
         ]
 
     def _update(self, sends_to_all: bool) -> None:
-        self._update_own()
         self._settle()
         live = frozenset(self._table.live)
         if live != self._logged_live:
@@ -187,7 +181,7 @@
         sent_count = self._state.session_context.selector.sent_count
         changed = msgspec.structs.replace(
             own,
-            is_ready=self.is_ready,
+            is_ready=self._is_ready(),
             is_leaving=self._is_leaving,
             load=self._load.update(sent_count, now),
         )
@@ -207,6 +201,7 @@
         if self._settle_timer is not None:
             self._settle_timer.cancel()
             self._settle_timer = None
+        self._update_own()
         now = self._clock.monotonic()
         self._execute(self._fleet.check(now))
         self._execute(self._fleet.publish(now))
@@ -249,6 +244,9 @@
     def _push_changes(
         self, shared: SharedSource, previous_revision: int, changes: SourceChanges
     ) -> None:
+        if previous_revision == 0:
+            # With its first contents, this host becomes ready.
+            self._schedule_settling()
         members = self._fleet.list_links(LinkRole.FROM_MEMBER)
         if members:
             self._send(members, shared.make_update(previous_revision, changes))
@@ -363,6 +361,10 @@
                 update = msgspec.structs.replace(update, hosts=usable)
                 self._table.apply(link_id, update, now)
                 self._schedule_settling()
+            case Ok(RelaysUpdate(hosts)):
+                usable = [host for host in hosts if self._is_usable(host)]
+                self._fleet.announce(usable, now)
+                self._schedule_settling()
             case Ok(ContentsUpdate(source=name) as update) if name in self._sources:
                 self._send_request(link_id, self._sources[name].apply(update))
             case Ok(ContentsRequest(source=name) as request) if name in self._sources:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/ports.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/ports.py
@@ -131,7 +131,10 @@
     async def read_all(
         self,
     ) -> Result[SourceChanges, SourceUnavailableError | HistoryGoneError]:
-        """Return all items."""
+        """Return all items as of some revision, which may be seconds old.
+
+        A watch from that revision returns what has changed since.
+        """
 
     async def watch(
         self, after_revision: int
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
@@ -126,7 +126,6 @@
         inputs = ReadingInputs(
             is_relay=is_relay,
             rank=rank,
-            has_contents=self.follower.has_contents,
             report=report,
             report_age=now - self._report_since,
             behind_for=self._get_behind_time(now),
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/sources.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/sources.py
@@ -43,7 +43,7 @@
     async def read_all(
         self,
     ) -> Result[SourceChanges, SourceUnavailableError | HistoryGoneError]:
-        """Return all entries of the store."""
+        """Return all entries of the store, which may be seconds old."""
         return await self._client.read_all(ALL_KEYS_PREFIX)
 
     async def watch(
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/store.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/store.py
@@ -92,8 +92,10 @@
     ) -> Result[SourceChanges, SourceUnavailableError | HistoryGoneError]:
         """Read all items under a prefix.
 
-        The pages are not read from one snapshot, so the revision of the first page is
-        returned. A watch from that revision may repeat changes, but misses none.
+        The pages are not read from one snapshot and may be seconds old, so the revision
+        of the first page is returned. A watch from that revision may repeat changes,
+        but misses none. The store charges a tenth for such a read and does not count it
+        towards its rate limit, and all hosts may start at the same time.
 
         :returns: the items, or why there are none.
         """
@@ -101,7 +103,9 @@
         revision: int | None = None
         after = ""
         while True:
-            params = {"path_prefix": prefix} | ({"after": after} if after else {})
+            params = {"path_prefix": prefix, "serializable": "1"}
+            if after:
+                params["after"] = after
             result = await self._get("/kv-range", params, READ_TIMEOUT, _RANGE_DECODER)
             match result:
                 case Err(error):
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -98,6 +98,26 @@
         self.assertLessEqual(took, MAX_START_TIME)
 
 
+class TestManyStarts(unittest.TestCase):
+    """Guards against a start after which the fleet stays split.
+
+    Hosts know few others while all start, so they choose different relays at first. A
+    host that follows a former relay must be sent on.
+    """
+
+    def test_fleets_of_any_order_join(self):
+        for seed in range(12):
+            with self.subTest(seed=seed):
+                fleet = SimulatedFleet({"a": 6, "b": 12, "c": 6, "d": 14}, seed)
+                fleet.start_all(seconds(0.5))
+                fleet.run_for(seconds(1))
+                ids = set(fleet.hosts)
+                took = fleet.run_until(
+                    lambda f=fleet, ids=ids: f.do_all_know(ids), seconds(30)
+                )
+                self.assertLessEqual(took, MAX_START_TIME)
+
+
 class TestLosses(FleetTestCase):
     """Guards against hosts that stay in the tables after their end, or that are dropped
     although they run."""
--- a/tests/daemon/test_hostile_decoders.py
+++ b/tests/daemon/test_hostile_decoders.py
@@ -251,6 +251,7 @@
             "is_confirmed": True,
         },
         {"type": "request", "source": "store", "after": 4},
+        {"type": "relays", "hosts": [HOST]},
     )
 
     def test_known_messages(self):
