--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/relays.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/relays.py
@@ -2,6 +2,7 @@
 
 import heapq
 from collections.abc import Iterable
+from functools import lru_cache
 
 from celeryferry_core.forwarding.hosts import HostInfo
 from celeryferry_core.rendezvous import hash_name
@@ -27,4 +28,9 @@
 
 
 def _get_rank(host: HostInfo) -> tuple[float, int, str]:
-    return (-host.processor_share, hash_name("relay", host.host_id), host.host_id)
+    return (-host.processor_share, _hash_id(host.host_id), host.host_id)
+
+
+@lru_cache(maxsize=4096)
+def _hash_id(host_id: str) -> int:
+    return hash_name("relay", host_id)
--- a/tests/core/test_entry_sets.py
+++ b/tests/core/test_entry_sets.py
@@ -16,7 +16,7 @@
 from celeryferry_core.forwarding.hosts import HostInfo
 from celeryferry_core.forwarding.load import ATTEMPT_TIME, LoadMeter
 from celeryferry_core.forwarding.registry import UpstreamRegistry
-from tests.core.fleet_simulation import make_info
+from celeryferry_standins.fleet_simulation import make_info
 from tests.core.forwarding_harness import make_upstream
 
 NOW = timedelta(seconds=100)
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 
 from celeryferry_core.forwarding.relays import RELAY_COUNT
-from tests.core.fleet_simulation import SimulatedFleet
+from celeryferry_standins.fleet_simulation import SimulatedFleet
 
 # Longest time after which a killed host may still be named to callers: the time in
 # which the platform allows a machine to notice a failure, and 3 s.
--- a/tests/core/test_hosts.py
+++ b/tests/core/test_hosts.py
@@ -13,7 +13,7 @@
     Scope,
 )
 from celeryferry_core.forwarding.relays import rank_relays
-from tests.core.fleet_simulation import make_info
+from celeryferry_standins.fleet_simulation import make_info
 
 NOW = timedelta(seconds=100)
 OWN = make_info("own", "a")
