Use the fleet's burst of extra attempts in every window, not once

A host's budget began with one attempt and grew by requests alone, 0.12 each, so the burst that the fleet may use in every 10 s was almost never used.

Ruled out: a larger first amount (a fleet that restarts would use the burst twice in one window).

Change: a bucket also earns 0.3 of the host's part of the burst in each window, and holds 0.4 of it. What a host spends in any window is bounded by their sum, also over a restart. The window is read from the settings. Loads below 0.05 of a core are not reported, so that hosts with a few requests outside the entry sets do not take a share.

Tests: test_no_window_exceeds_the_limit spends greedily in all windows over a restart of all hosts; test_burst_is_used_without_many_requests fails before; test_only_the_first_read_may_be_stale fails before.

--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/load.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/load.py
@@ -10,7 +10,7 @@
 MIN_INTERVAL = timedelta(seconds=1)
 # Smaller changes are not reported to other hosts.
 MIN_CHANGE_RATIO = 0.25
-MIN_CHANGE = 0.02
+MIN_CHANGE = 0.05
 
 
 class LoadMeter:
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/session.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/session.py
@@ -147,7 +147,7 @@
             self._finish(self._refuse(RefusalReason.DEADLINE, now), now)
             return self._drain_actions()
         for shard in self._shards:
-            self._context.budgets.count_request(shard.service)
+            self._context.budgets.count_request(shard.service, now)
         if self._count_eligible_shards() < self._required:
             self._finish(self._refuse(RefusalReason.NO_UPSTREAM, now), now)
             return self._drain_actions()
@@ -226,13 +226,13 @@
         is_exhausted = shard.run_count >= self.rule.max_attempts
         is_exhausted |= shard.refusal_count > MAX_RETRIED_REFUSALS
         is_exhausted |= now >= self._finish_at
-        if is_exhausted or (needs_budget and not self._try_acquire_budget(shard)):
+        if is_exhausted or (needs_budget and not self._try_acquire_budget(shard, now)):
             shard.has_failed = True
         else:
             self._send(shard, now)
 
-    def _try_acquire_budget(self, shard: ShardState) -> bool:
-        return self._context.budgets.try_acquire(shard.service)
+    def _try_acquire_budget(self, shard: ShardState, now: timedelta) -> bool:
+        return self._context.budgets.try_acquire(shard.service, now)
 
     def _handle_timer(self, now: timedelta) -> None:
         if self.result is not None or now >= self._finish_at:
@@ -280,7 +280,7 @@
         selection = self._context.selector.choose(shard.service, now, shard.tried)
         if selection is None or selection.reason in ("cold", "suspected"):
             return
-        if self._try_acquire_budget(shard):
+        if self._try_acquire_budget(shard, now):
             self._add_attempt(shard, selection.upstream, f"hedge_{selection.reason}")
 
     def _send_first_attempts(self, now: timedelta) -> None:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
@@ -137,7 +137,9 @@
                 await self._is_reading.wait()
             is_listing = not self._can_watch
             if is_listing:
-                result = await self.source.read_all()
+                # Contents that are older than the history could not be followed by a
+                # watch, so only the first read may be stale.
+                result = await self.source.read_all(may_be_stale=not self.has_contents)
             else:
                 result = await self.source.watch(self.revision)
             match result:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/ports.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/ports.py
@@ -129,11 +129,14 @@
     name: str
 
     async def read_all(
-        self,
+        self, may_be_stale: bool
     ) -> Result[SourceChanges, SourceUnavailableError | HistoryGoneError]:
-        """Return all items as of some revision, which may be seconds old.
+        """Return all items as of some revision.
 
         A watch from that revision returns what has changed since.
+
+        :param may_be_stale: whether contents that are seconds old are accepted; they
+            cost less.
         """
 
     async def watch(
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/settings.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/settings.py
@@ -27,7 +27,9 @@
     :param store_address: ``ip:port`` of the store that publishes the configuration and
         the upstreams.
     :param extra_ratio: hedges and retries that the fleet may send per request.
-    :param extra_burst: hedges and retries that the fleet may send beyond that ratio.
+    :param extra_burst: hedges and retries that the fleet may send beyond that ratio in
+        each window.
+    :param extra_window: length of that window.
     :param cold_excess: factor by which the request rate configured for cold upstreams
         of a service is multiplied; 1 leaves it as configured.
     :param cold_tolerance: requests per second that a cold upstream can process beyond
@@ -52,6 +54,7 @@
     store_address: str
     extra_ratio: float
     extra_burst: float
+    extra_window: timedelta
     cold_excess: float
     cold_tolerance: float
     contact_time: timedelta
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 
 from celeryferry_core.environment import RandomSource
-from celeryferry_core.forwarding.budgets import ExtraAttemptBudgets
+from celeryferry_core.forwarding.budgets import BudgetLimits, ExtraAttemptBudgets
 from celeryferry_core.forwarding.models import ForwardingConfiguration
 from celeryferry_core.forwarding.registry import UpstreamRegistry
 from celeryferry_core.forwarding.rules import RuleTable, list_services
@@ -81,15 +81,13 @@
         selector = UpstreamSelector(
             settings.failure_domain, self.registry, self.warmup, random
         )
-        budgets = ExtraAttemptBudgets(settings.extra_ratio, settings.extra_burst)
+        budgets = ExtraAttemptBudgets(_read_budget_limits(settings))
         self.session_context = SessionContext(selector, budgets, TimesByRule(), random)
 
     def replace_settings(self, settings: ForwardingSettings) -> None:
         """Apply the limits of changed settings: extra requests and cold upstreams."""
         self.warmup.replace_bounds(settings.cold_excess, settings.cold_tolerance)
-        self.session_context.budgets.replace_bounds(
-            settings.extra_ratio, settings.extra_burst
-        )
+        self.session_context.budgets.limits = _read_budget_limits(settings)
 
     def set_fleet(
         self, live_count: int, sender_ids: frozenset[str], sharing_count: int
@@ -184,3 +182,9 @@
             replaced_version=None if previous is None else previous.version,
             rule_count=len(configuration.rules),
         )
+
+
+def _read_budget_limits(settings: ForwardingSettings) -> BudgetLimits:
+    return BudgetLimits(
+        settings.extra_ratio, settings.extra_burst, settings.extra_window
+    )
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/boot.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/boot.py
@@ -35,6 +35,7 @@
 class _Parameters(msgspec.Struct):
     retry_ratio: _Ratio = 0.2
     retry_burst: _Ratio = 50.0
+    retry_window_s: Annotated[float, Meta(gt=0, le=86_400)] = 10.0
     warmup_excess: _Ratio = 1.0
     warmup_tolerance: _Ratio = 0.0
     # Time after a failure of the store or the network within which the daemon must know
@@ -109,6 +110,7 @@
             store_address=settings_file.platform.address,
             extra_ratio=parameters.retry_ratio,
             extra_burst=parameters.retry_burst,
+            extra_window=timedelta(seconds=parameters.retry_window_s),
             cold_excess=parameters.warmup_excess,
             cold_tolerance=parameters.warmup_tolerance,
             contact_time=timedelta(milliseconds=parameters.contact_ms),
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/sources.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/sources.py
@@ -41,10 +41,13 @@
         self.name = "store"
 
     async def read_all(
-        self,
+        self, may_be_stale: bool
     ) -> Result[SourceChanges, SourceUnavailableError | HistoryGoneError]:
-        """Return all entries of the store, which may be seconds old."""
-        return await self._client.read_all(ALL_KEYS_PREFIX)
+        """Return all entries of the store.
+
+        :param may_be_stale: whether entries that are seconds old are accepted.
+        """
+        return await self._client.read_all(ALL_KEYS_PREFIX, may_be_stale)
 
     async def watch(
         self, after_revision: int
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/store.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/store.py
@@ -88,22 +88,25 @@
         await self._session.close()
 
     async def read_all(
-        self, prefix: str
+        self, prefix: str, may_be_stale: bool
     ) -> Result[SourceChanges, SourceUnavailableError | HistoryGoneError]:
         """Read all items under a prefix.
 
-        The pages are not read from one snapshot and may be seconds old, so the revision
-        of the first page is returned. A watch from that revision may repeat changes,
-        but misses none. The store charges a tenth for such a read and does not count it
-        towards its rate limit, and all hosts may start at the same time.
+        The pages are not read from one snapshot, so the revision of the first page is
+        returned. A watch from that revision may repeat changes, but misses none.
 
+        :param may_be_stale: whether items that are seconds old are accepted. The store
+            charges a tenth for such a read and does not count it towards its rate
+            limit; all hosts may start at the same time.
         :returns: the items, or why there are none.
         """
         items: list[SourceItem] = []
         revision: int | None = None
         after = ""
         while True:
-            params = {"path_prefix": prefix, "serializable": "1"}
+            params = {"path_prefix": prefix}
+            if may_be_stale:
+                params["serializable"] = "1"
             if after:
                 params["after"] = after
             result = await self._get("/kv-range", params, READ_TIMEOUT, _RANGE_DECODER)
--- a/tests/core/forwarding_harness.py
+++ b/tests/core/forwarding_harness.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from celeryferry_core.forwarding.budgets import ExtraAttemptBudgets
+from celeryferry_core.forwarding.budgets import BudgetLimits, ExtraAttemptBudgets
 from celeryferry_core.forwarding.events import (
     AttemptEnded,
     CallerGone,
@@ -42,6 +42,7 @@
 from celeryferry_core.forwarding.timing import TimesByRule
 from celeryferry_core.forwarding.warmup import WarmupLimits
 
+BUDGET_WINDOW = timedelta(seconds=10)
 # Requests counted before those of the test, to fill the budgets.
 EARNING_REQUESTS = 1000
 
@@ -148,9 +149,9 @@
         selector.services = {
             service: ServiceBounds(80, cold_requests_per_s=0.0) for service in services
         }
-        budgets = ExtraAttemptBudgets(ratio, burst)
+        budgets = ExtraAttemptBudgets(BudgetLimits(ratio, burst, BUDGET_WINDOW))
         for service in services * EARNING_REQUESTS:
-            budgets.count_request(service)
+            budgets.count_request(service, timedelta(0))
         self.context = SessionContext(selector, budgets, TimesByRule(), source)
         for service, domain in itertools.product(services, domains):
             self.registry.put(make_upstream(service, domain), self.now)
--- a/tests/core/test_forwarding_state.py
+++ b/tests/core/test_forwarding_state.py
@@ -4,7 +4,12 @@
 import unittest
 from datetime import timedelta
 
-from celeryferry_core.forwarding.budgets import USED_FRACTION, ExtraAttemptBudgets
+from celeryferry_core.forwarding.budgets import (
+    DEPTH_FRACTION,
+    REFILL_FRACTION,
+    BudgetLimits,
+    ExtraAttemptBudgets,
+)
 from celeryferry_core.forwarding.models import Weighted, WeightedService
 from celeryferry_core.forwarding.registry import SOURCE_BACK_GRACE, UpstreamRegistry
 from celeryferry_core.forwarding.rules import RuleTable, pick_services
@@ -94,37 +99,84 @@
 
     RATIO = 0.2
     BURST = 126.0
+    WINDOW = timedelta(seconds=10)
     HOSTS = 18
+    LIMITS = BudgetLimits(RATIO, BURST, WINDOW)
+    # Unused for hosts that disagree on the number of hosts.
+    UNUSED_FRACTION = 0.15
+
+    def make_fleet(self) -> list[ExtraAttemptBudgets]:
+        """Return the budgets of all hosts, which know of each other."""
+        fleet = [ExtraAttemptBudgets(self.LIMITS) for _ in range(self.HOSTS)]
+        for budgets in fleet:
+            budgets.host_count = self.HOSTS
+        return fleet
 
-    def spend_all(self, budgets: ExtraAttemptBudgets) -> int:
+    def spend_all(
+        self, budgets: ExtraAttemptBudgets, now: timedelta = timedelta(0)
+    ) -> int:
         """Spend the whole budget of a host and return the number of attempts."""
-        return sum(budgets.try_acquire("s0") for _ in range(int(self.BURST)))
+        return sum(budgets.try_acquire("s0", now) for _ in range(int(self.BURST)))
+
+    def test_no_window_exceeds_the_limit(self):
+        """Guards against a limit that holds only in windows that begin at one time.
+
+        Every host spends what it can, at each step, under a steady load. All restart
+        together in the middle.
+        """
+        step = timedelta(milliseconds=100)
+        fleet = self.make_fleet()
+        spent_by_step = []
+        requests_per_step = 9
+        for number in range(400):
+            now = step * number
+            if number == 205:
+                fleet = self.make_fleet()
+            for request in range(requests_per_step):
+                fleet[(number + request) % self.HOSTS].count_request("s0", now)
+            spent_by_step.append(sum(self.spend_all(each, now) for each in fleet))
+        per_window = self.WINDOW // step
+        allowed = self.BURST * (1 - self.UNUSED_FRACTION)
+        allowed += self.RATIO * requests_per_step * per_window
+        for start in range(len(spent_by_step) - per_window):
+            spent = sum(spent_by_step[start : start + per_window])
+            self.assertLessEqual(spent, allowed, f"from step {start}")
+
+    def test_burst_is_used_without_many_requests(self):
+        """Guards against stragglers that are not hedged, because the burst that the
+        fleet may use is earned by requests only."""
+        fleet = self.make_fleet()
+        spent = 0
+        for number in range(100, 200):
+            now = timedelta(milliseconds=100 * number)
+            spent += sum(self.spend_all(each, now) for each in fleet)
+        self.assertGreater(spent, 0.25 * self.BURST)
 
     def test_restarted_fleet_gets_no_second_burst(self):
         """Guards against two bursts in one window after all hosts were killed."""
-        fleet = [ExtraAttemptBudgets(self.RATIO, self.BURST) for _ in range(self.HOSTS)]
-        unused = self.BURST * (1 - USED_FRACTION)
+        fleet = [ExtraAttemptBudgets(self.LIMITS) for _ in range(self.HOSTS)]
+        unused = self.BURST * (1 - DEPTH_FRACTION - REFILL_FRACTION)
         self.assertLess(sum(map(self.spend_all, fleet)), unused)
 
     def test_first_request_of_a_host_may_be_repeated(self):
         """Guards against a start without any budget for a retry."""
-        budgets = ExtraAttemptBudgets(self.RATIO, self.BURST)
-        self.assertTrue(budgets.try_acquire("s0"))
+        budgets = ExtraAttemptBudgets(self.LIMITS)
+        self.assertTrue(budgets.try_acquire("s0", timedelta(0)))
 
     def test_share_of_a_host_follows_the_number_of_hosts(self):
         """Guards against the large share of a host that knew few others."""
-        fleet = [ExtraAttemptBudgets(self.RATIO, self.BURST) for _ in range(self.HOSTS)]
+        fleet = [ExtraAttemptBudgets(self.LIMITS) for _ in range(self.HOSTS)]
         for budgets in fleet:
             for _ in range(1000):
-                budgets.count_request("s0")
+                budgets.count_request("s0", timedelta(0))
             budgets.host_count = self.HOSTS
         self.assertLessEqual(sum(map(self.spend_all, fleet)), self.BURST)
 
     def test_requests_earn_extra_attempts(self):
         """Guards against a budget that never fills."""
-        budgets = ExtraAttemptBudgets(self.RATIO, self.BURST)
+        budgets = ExtraAttemptBudgets(self.LIMITS)
         for _ in range(100):
-            budgets.count_request("s0")
+            budgets.count_request("s0", timedelta(0))
         spent = self.spend_all(budgets)
         self.assertGreater(spent, 0)
         self.assertLessEqual(spent, 100 * self.RATIO)
--- a/tests/daemon/test_forwarding_sources.py
+++ b/tests/daemon/test_forwarding_sources.py
@@ -44,6 +44,7 @@
         "store_address": "127.0.0.1:0",
         "extra_ratio": 0.2,
         "extra_burst": 100.0,
+        "extra_window": timedelta(seconds=10),
         "cold_excess": 1.5,
         "cold_tolerance": 5.0,
         "contact_time": timedelta(seconds=4),
@@ -82,6 +83,7 @@
         self.name = "upstreams"
         self.results = list(results)
         self.calls: list[int | None] = []
+        self.stale_reads: list[bool] = []
         self.is_done = asyncio.Event()
 
     async def _next(self, after):
@@ -91,8 +93,9 @@
             await asyncio.Event().wait()
         return self.results.pop(0)
 
-    async def read_all(self):
+    async def read_all(self, may_be_stale):
         """Return the next result."""
+        self.stale_reads.append(may_be_stale)
         return await self._next(None)
 
     async def watch(self, after_revision):
@@ -166,6 +169,16 @@
         self.assertEqual(self.source.calls, [None, 5, None, 9])
         self.assertEqual(self.list_ids(), {"s0-b"})
 
+    async def test_only_the_first_read_may_be_stale(self):
+        """Guards against reading again and again contents that are older than the
+        history, from which no watch can continue."""
+        await self.follow(
+            Ok(SourceChanges((make_entry("s0-a", 3),), 5)),
+            Err(HistoryGoneError("gone")),
+            Ok(SourceChanges((make_entry("s0-a", 3),), 9)),
+        )
+        self.assertEqual(self.source.stale_reads, [True, False])
+
     async def test_outage_is_logged_once_and_keeps_the_upstreams(self):
         """Guards against dropping upstreams in an outage, and one log line per call."""
         await self.follow(
@@ -222,7 +235,7 @@
         self.source.is_done.clear()
         listing = Ok(SourceChanges((make_entry("s0-b", 4),), 12))
 
-        async def read_all():
+        async def read_all(may_be_stale):
             self.receive(0, 8, make_entry("s0-a", 3), make_entry("s0-b", 4))
             self.source.is_done.set()
             return listing
--- a/tests/daemon/test_platform.py
+++ b/tests/daemon/test_platform.py
@@ -317,12 +317,21 @@
             item = {"key": key, "value": value, "revision": 5}
             page = {"items": [item], "truncated": is_truncated, "as_of": 9}
             self.answers.append(web.json_response(page))
-        changes = (await self.client.read_all("servers/")).unwrap()
+        changes = (await self.client.read_all("servers/", False)).unwrap()
         self.assertEqual(
             [item.key for item in changes.items], ["servers/a", "servers/b"]
         )
         self.assertEqual(self.queries[1]["after"], "servers/a")
         self.assertEqual(changes.revision, 9)
+        self.assertNotIn("serializable", self.queries[0])
+
+    async def test_stale_read_is_asked_for_on_every_page(self):
+        """Guards against the full price of each read when all hosts start together."""
+        for is_truncated in (True, False):
+            page = {"items": [{"key": "k"}], "truncated": is_truncated, "as_of": 9}
+            self.answers.append(web.json_response(page))
+        (await self.client.read_all("", True)).unwrap()
+        self.assertEqual([q["serializable"] for q in self.queries], ["1", "1"])
 
     async def test_removals_are_distinguished_from_writes(self):
         """Guards against using an entry after its removal."""
