--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
@@ -88,6 +88,7 @@
         "_links",
         "_load",
         "_log",
+        "_logged_entry_set",
         "_logged_live",
         "_session",
         "_settle_timer",
@@ -124,6 +125,7 @@
         self._links: dict[int, Link] = {}
         self._link_numbers = count(1)
         self._logged_live: frozenset[str] = frozenset()
+        self._logged_entry_set: tuple[str, ...] = ()
         self._session: aiohttp.ClientSession | None = None
         self._settle_timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task] = set()
@@ -173,6 +175,17 @@
             )
             self._logged_live = live
         roles = tuple(LinkRole) if sends_to_all else (LinkRole.FROM_MEMBER,)
+        named = tuple(
+            host.host_id
+            for host in self.entry_sets.choose(self._table.own.failure_domain)
+        )
+        if named != self._logged_entry_set:
+            self._log.write(
+                "entry_set_changed",
+                hosts=named,
+                sender_count=len(self.entry_sets.sender_ids),
+            )
+            self._logged_entry_set = named
         self._send(self._fleet.list_links(*roles), self._make_tick())
 
     def _update_own(self) -> None:
