Let only the readers try a store that is down when all hosts start

Ruled out: serving in that time; no host knows a configuration then, and nothing is kept on any machine.

Test: test_host_that_is_no_reader_calls_once_at_its_start.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
@@ -131,10 +131,16 @@
         self._update_availability("no peer can read it")
 
     async def run(self) -> None:
-        """Read the source once, then follow it while this host should read it."""
+        """Read the source once, then follow it while this host should read it.
+
+        If all hosts start while the source is down, only the readers try it again; the
+        others receive the contents from them.
+        """
+        is_first_call = True
         while True:
-            if self.has_contents:
+            if not is_first_call:
                 await self._is_reading.wait()
+            is_first_call = False
             is_listing = not self._can_watch
             if is_listing:
                 # Contents that are older than the history could not be followed by a
--- a/tests/daemon/test_forwarding_sources.py
+++ b/tests/daemon/test_forwarding_sources.py
@@ -11,7 +11,10 @@
 
 from celeryferry_core.forwarding.models import ForwardingConfiguration
 from celeryferry_daemon._internal.clock import SystemClock
-from celeryferry_daemon._internal.forwarding.follower import SourceFollower
+from celeryferry_daemon._internal.forwarding.follower import (
+    MIN_RETRY_DELAY,
+    SourceFollower,
+)
 from celeryferry_daemon._internal.forwarding.log_lines import (
     MAX_QUEUED_LINES,
     LogWriter,
@@ -128,8 +131,12 @@
     source again without returning to an older state.
     """
 
-    async def follow(self, *results):
-        """Follow a source with these results until they are used up."""
+    async def follow(self, *results, is_reader=True):
+        """Follow a source with these results until they are used up.
+
+        :param is_reader: whether this host follows the source by its own calls. If not,
+            it is watched for some retry delays.
+        """
         self.log = RecordingLog()
         clock = SystemClock()
         random_source = random.Random(1)
@@ -140,9 +147,12 @@
         self.follower = SourceFollower(
             self.source, self.state, clock, random_source, self.log
         )
-        self.follower.set_reading(True)
+        self.follower.set_reading(is_reader)
         task = asyncio.create_task(self.follower.run())
-        await self.source.is_done.wait()
+        if is_reader:
+            await self.source.is_done.wait()
+        else:
+            await asyncio.sleep(3 * MIN_RETRY_DELAY.total_seconds())
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
 
@@ -179,6 +189,19 @@
         )
         self.assertEqual(self.source.stale_reads, [True, False])
 
+    async def test_host_that_is_no_reader_calls_once_at_its_start(self):
+        """Guards against calls of every host while the source is down.
+
+        Pattern: all hosts are killed and start again before the source is back.
+        """
+        for first in (
+            Err(SourceUnavailableError("down")),
+            Ok(SourceChanges((make_entry("s0-a", 3),), 5)),
+        ):
+            await self.follow(first, is_reader=False)
+            self.assertEqual(self.source.calls, [None])
+            self.assertFalse(self.follower.is_unavailable)
+
     async def test_outage_is_logged_once_and_keeps_the_upstreams(self):
         """Guards against dropping upstreams in an outage, and one log line per call."""
         await self.follow(
