Split the opening of links from the network of hosts, and log its failures

Cause, from reading the diff: an unexpected exception while a link was opened would have kept that host from being tried again, and one in the handling of a message would have ended the link without a line in the log.

Change: connector.py opens and accepts links and asks seeds; fleet_actions.py holds the actions. A message whose handling fails is logged and the link goes on; a host that could not be opened for any reason is tried again.

--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/fleet.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/fleet.py
@@ -9,6 +9,13 @@
 from datetime import timedelta
 
 from celeryferry_core.environment import RandomSource
+from celeryferry_core.forwarding.fleet_actions import (
+    Action,
+    AskSeeds,
+    CloseLink,
+    OpenLink,
+    SendUpdate,
+)
 from celeryferry_core.forwarding.hosts import (
     HostInfo,
     HostsUpdate,
@@ -43,48 +50,6 @@
 SETTLING_TIME = timedelta(milliseconds=500)
 
 
-@dataclass(frozen=True, slots=True)
-class OpenLink:
-    """Connect to a host."""
-
-    host: HostInfo
-    role: LinkRole
-
-
-@dataclass(frozen=True, slots=True)
-class CloseLink:
-    """Close a link.
-
-    :param reason: one word for the log.
-    """
-
-    link_id: int
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class SendUpdate:
-    """Send a report on some links."""
-
-    link_ids: tuple[int, ...]
-    update: HostsUpdate | RelaysUpdate
-
-
-@dataclass(frozen=True, slots=True)
-class AskSeeds:
-    """Announce this host to seeds and ask them for relays.
-
-    :param addresses: addresses of the seeds.
-    :param wants_all: whether to ask for the relays of all domains instead of the own.
-    """
-
-    addresses: tuple[str, ...]
-    wants_all: bool
-
-
-Action = OpenLink | CloseLink | SendUpdate | AskSeeds
-
-
 @dataclass(slots=True)
 class _Link:
     role: LinkRole
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
@@ -6,19 +6,17 @@
 from functools import partial
 from itertools import count
 
-import aiohttp
 import msgspec
 from aiohttp import web
 from result import Err, Ok
 
-from celeryferry_core.addresses import is_address
 from celeryferry_core.environment import Clock, RandomSource
 from celeryferry_core.forwarding.entry_sets import EntrySets, find_served_domains
-from celeryferry_core.forwarding.fleet import (
+from celeryferry_core.forwarding.fleet import FleetMember
+from celeryferry_core.forwarding.fleet_actions import (
     Action,
     AskSeeds,
     CloseLink,
-    FleetMember,
     OpenLink,
     SendUpdate,
 )
@@ -30,16 +28,20 @@
     RelaysUpdate,
 )
 from celeryferry_core.forwarding.load import LoadMeter
-from celeryferry_daemon._internal.bodies import read_bounded
+from celeryferry_daemon._internal.forwarding.connector import (
+    LINK_PATH,
+    SEED_PATH,
+    OpenedLink,
+    PeerConnector,
+    is_usable,
+)
 from celeryferry_daemon._internal.forwarding.follower import SourceFollower
 from celeryferry_daemon._internal.forwarding.link_messages import (
-    ANSWER_DECODER,
     ENCODER,
     LINK_DECODER,
     QUESTION_DECODER,
     ContentsRequest,
     ContentsUpdate,
-    Hello,
     LinkMessage,
     SeedAnswer,
     SeedQuestion,
@@ -60,11 +62,6 @@
 TICK_INTERVAL = timedelta(milliseconds=500)
 # Changes within this time are reported together.
 SETTLE_TIME = timedelta(milliseconds=20)
-OPEN_TIMEOUT = timedelta(seconds=1)
-SEED_TIMEOUT = timedelta(milliseconds=800)
-LINK_PATH = "/v1/link"
-SEED_PATH = "/v1/relays"
-MAX_SEED_ANSWER_BYTES = 1_048_576
 
 
 class PeerNetwork:
@@ -81,6 +78,7 @@
 
     __slots__ = (
         "_clock",
+        "_connector",
         "_fleet",
         "_is_leaving",
         "_is_ready",
@@ -90,7 +88,6 @@
         "_log",
         "_logged_entry_set",
         "_logged_live",
-        "_session",
         "_settle_timer",
         "_sources",
         "_state",
@@ -126,7 +123,7 @@
         self._link_numbers = count(1)
         self._logged_live: frozenset[str] = frozenset()
         self._logged_entry_set: tuple[str, ...] = ()
-        self._session: aiohttp.ClientSession | None = None
+        self._connector = PeerConnector(log)
         self._settle_timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task] = set()
         self._is_leaving = False
@@ -135,16 +132,13 @@
 
     async def run(self) -> None:
         """Keep the links until cancelled."""
-        self._session = aiohttp.ClientSession(
-            cookie_jar=aiohttp.DummyCookieJar(),
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
-        )
+        self._connector.open_session()
         try:
             for number in count():
                 self._update(sends_to_all=number % 2 == 0)
                 await asyncio.sleep(TICK_INTERVAL.total_seconds())
         finally:
-            await self._session.close()
+            await self._connector.close_session()
 
     def replace_seeds(self, seeds: tuple[str, ...]) -> None:
         """Use other seeds from now on."""
@@ -265,34 +259,18 @@
             self._send(members, shared.make_update(previous_revision, changes))
 
     async def _open_link(self, host: HostInfo, role: LinkRole) -> None:
-        assert self._session is not None
-        link: Link | None = None
-        first: bytes | None = None
+        opened: OpenedLink | None = None
         try:
-            async with asyncio.timeout(OPEN_TIMEOUT.total_seconds()):
-                socket = await self._session.ws_connect(
-                    f"http://{host.peers_address}{LINK_PATH}",
-                    max_msg_size=MAX_MESSAGE_BYTES,
-                    timeout=aiohttp.ClientWSTimeout(
-                        ws_close=CLOSE_TIMEOUT.total_seconds()
-                    ),
-                )
-            link = Link(next(self._link_numbers), socket)
-            hello = ENCODER.encode(Hello(self._table.own))
-            if await link.send_first(hello):
-                first = await link.receive_first(OPEN_TIMEOUT)
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
-            # Not logged here. If the host stays silent, the change of the live hosts is
-            # logged.
-            pass
-        peer = None if first is None else self._read_hello(first)
-        if link is None or peer is None or peer.host.host_id != host.host_id:
-            self._fleet.handle_open_failed(host.host_id, self._clock.monotonic())
-            self._schedule_settling()
-            if link is not None:
-                await link.close_unused()
-            return
-        await self._run_link(link, role, peer.host, is_initiator=True)
+            opened = await self._connector.open(
+                next(self._link_numbers), host, self._table.own
+            )
+        finally:
+            if opened is None:
+                # Also after an unexpected exception, so that the host is tried again.
+                self._fleet.handle_open_failed(host.host_id, self._clock.monotonic())
+                self._schedule_settling()
+        if opened is not None:
+            await self._run_link(opened.link, role, opened.peer, is_initiator=True)
 
     async def _handle_link(self, request: web.Request) -> web.WebSocketResponse:
         socket = web.WebSocketResponse(
@@ -302,19 +280,11 @@
         )
         await socket.prepare(request)
         link = Link(next(self._link_numbers), socket)
-        first = await link.receive_first(OPEN_TIMEOUT)
-        peer = None if first is None else self._read_hello(first)
-        if peer is None:
-            await link.close_unused()
-            return socket
-        own_domain = self._table.own.failure_domain
-        role = LinkRole.BETWEEN_DOMAINS
-        if peer.host.failure_domain == own_domain:
-            role = LinkRole.FROM_MEMBER
-        if await link.send_first(ENCODER.encode(Hello(self._table.own))):
-            await self._run_link(link, role, peer.host, is_initiator=False)
-        else:
-            await link.close_unused()
+        peer = await self._connector.accept(link, self._table.own)
+        if peer is not None:
+            is_local = peer.failure_domain == self._table.own.failure_domain
+            role = LinkRole.FROM_MEMBER if is_local else LinkRole.BETWEEN_DOMAINS
+            await self._run_link(link, role, peer, is_initiator=False)
         return socket
 
     async def _run_link(
@@ -337,27 +307,21 @@
             self._log.write("link_ended", link=link_id, role=role, peer=peer.host_id)
             self._schedule_settling()
 
-    def _read_hello(self, content: bytes) -> Hello | None:
-        match LINK_DECODER.decode(content):
-            case Ok(Hello() as hello) if self._is_usable(hello.host):
-                return hello
-            case Ok(_):
-                reason = "not a usable first message"
-            case Err(error):
-                reason = str(error)
-        self._log.write("peer_message_rejected", reason=reason)
-        return None
-
     def _is_usable(self, host: HostInfo) -> bool:
-        return (
-            host.host_id != self._table.own.host_id
-            and is_address(host.peers_address)
-            and is_address(host.callers_address)
-        )
+        return is_usable(host) and host.host_id != self._table.own.host_id
 
     def _handle_message(self, link_id: int, role: LinkRole, content: bytes) -> None:
         now = self._clock.monotonic()
         self._table.record_heard(link_id, now)
+        try:
+            self._apply_message(link_id, role, content, now)
+        except Exception as error:
+            # A fault in the handling of one message must not end the link.
+            self._log.write("peer_message_failed", link=link_id, reason=repr(error))
+
+    def _apply_message(
+        self, link_id: int, role: LinkRole, content: bytes, now: timedelta
+    ) -> None:
         match LINK_DECODER.decode(content):
             case Err(error):
                 self._log.write(
@@ -388,26 +352,10 @@
             self._send((link_id,), request)
 
     async def _ask_seed(self, address: str, wants_all: bool) -> None:
-        assert self._session is not None
-        question = ENCODER.encode(SeedQuestion(self._table.own, wants_all))
-        timeout = aiohttp.ClientTimeout(total=SEED_TIMEOUT.total_seconds())
-        try:
-            async with self._session.post(
-                f"http://{address}{SEED_PATH}", data=question, timeout=timeout
-            ) as response:
-                content = await read_bounded(response, MAX_SEED_ANSWER_BYTES)
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
-            # Seeds may be stale; they are asked again.
-            return
-        match ANSWER_DECODER.decode(content):
-            case Ok(SeedAnswer(relays)):
-                usable = [host for host in relays if self._is_usable(host)]
-                self._fleet.announce(usable, self._clock.monotonic())
-                self._schedule_settling()
-            case Err(error):
-                self._log.write(
-                    "peer_message_rejected", peer=address, reason=str(error)
-                )
+        relays = await self._connector.ask_seed(address, self._table.own, wants_all)
+        usable = [host for host in relays if self._is_usable(host)]
+        self._fleet.announce(usable, self._clock.monotonic())
+        self._schedule_settling()
 
     async def _handle_seed_question(self, request: web.Request) -> web.Response:
         match QUESTION_DECODER.decode(await request.read()):
--- a/packages/celeryferry-standins/src/celeryferry_standins/fleet_simulation.py
+++ b/packages/celeryferry-standins/src/celeryferry_standins/fleet_simulation.py
@@ -9,11 +9,11 @@
 
 import msgspec
 
-from celeryferry_core.forwarding.fleet import (
+from celeryferry_core.forwarding.fleet import FleetMember
+from celeryferry_core.forwarding.fleet_actions import (
     Action,
     AskSeeds,
     CloseLink,
-    FleetMember,
     OpenLink,
     SendUpdate,
 )
