Answer every request that a stopping host passes on

Cause: a stopping host took requests on kept connections until its exit at 0.9 of the stop time, whatever time they needed. Ruled out: closing idle connections at the signal, which costs callers and does not help on new connections. Change: a request is run only if it can be answered before all results are due, otherwise it is refused at once (503, Retry-After up to 50 ms); running requests end with an answer at that time; the process waits for unsent bytes of responses.

--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/events.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/events.py
@@ -29,7 +29,16 @@
     """The caller closed its connection."""
 
 
-Event = AttemptEnded | TimerFired | CallerGone
+class FinishBy(msgspec.Struct, frozen=True, gc=False):
+    """The request must have its result earlier, because this host stops.
+
+    :param at: monotonic time; a later time than the deadline in force has no effect.
+    """
+
+    at: timedelta
+
+
+Event = AttemptEnded | TimerFired | CallerGone | FinishBy
 
 
 class SendAttempt(msgspec.Struct, frozen=True, gc=False):
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/outcomes.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/outcomes.py
@@ -32,6 +32,7 @@
     OVERLOADED = "overloaded"
     DEADLINE = "deadline"
     CALLER_GONE = "caller_gone"
+    STOPPING = "stopping"
 
 
 class LossReason(StrEnum):
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/session.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/session.py
@@ -14,6 +14,7 @@
     CancelAttempt,
     Event,
     Finish,
+    FinishBy,
     SendAttempt,
     SetTimer,
     TimerFired,
@@ -166,6 +167,8 @@
             case TimerFired():
                 self._timer_at = None
                 self._handle_timer(now)
+            case FinishBy(at):
+                self._finish_at = min(self._finish_at, at)
             case CallerGone():
                 return self._abandon()
         return self._advance(now)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
@@ -19,7 +19,10 @@
 from celeryferry_daemon._internal.forwarding.callers import CallersHandler
 from celeryferry_daemon._internal.forwarding.draining import DrainSchedule
 from celeryferry_daemon._internal.forwarding.follower import SourceFollower
-from celeryferry_daemon._internal.forwarding.listener import start_callers_listener
+from celeryferry_daemon._internal.forwarding.listener import (
+    CallersServer,
+    start_callers_listener,
+)
 from celeryferry_daemon._internal.forwarding.log_lines import LogWriter
 from celeryferry_daemon._internal.forwarding.messages import CallerResponse
 from celeryferry_daemon._internal.forwarding.metrics import RequestMetrics
@@ -105,6 +108,7 @@
             self._log,
             RequestMetrics(self.metrics_registry),
         )
+        self._callers_server = CallersServer(self._callers, self._state)
         self._tasks = TaskSet()
         self._servers: list[asyncio.Server] = []
         self._runners: list[web.AppRunner | web.ServerRunner] = []
@@ -150,10 +154,10 @@
         await self._start_runner(
             web.AppRunner(peers, access_log=None), settings.peers_address
         )
-        callers_coroutine = start_callers_listener(
-            self._callers, self._state, settings.callers_address
+        callers_runner = await start_callers_listener(
+            self._callers_server, settings.callers_address
         )
-        self._runners.append(await callers_coroutine)
+        self._runners.append(callers_runner)
         await self._start_runner(
             web.AppRunner(entry_hosts, access_log=None), settings.entry_hosts_address
         )
@@ -213,7 +217,7 @@
         now = self._clock.monotonic()
         schedule = DrainSchedule(now, self.settings.stop_time)
         self._log.write("stopping", running_count=self._callers.running_count)
-        self._callers.is_leaving = True
+        self._callers.begin_drain(schedule)
         self._peers.announce_leaving()
         await asyncio.sleep((schedule.listeners_close_at - now).total_seconds())
         for runner in self._runners:
@@ -223,7 +227,7 @@
         # the running requests.
         while True:
             now = self._clock.monotonic()
-            if schedule.may_exit(self._callers.running_count, now):
+            if schedule.may_exit(self._callers_server.count_unanswered(), now):
                 break
             await asyncio.sleep(DRAIN_POLL_INTERVAL.total_seconds())
         self._log.write("stopped", running_count=self._callers.running_count)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/callers.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/callers.py
@@ -19,6 +19,7 @@
 )
 from celeryferry_core.forwarding.rules import pick_services
 from celeryferry_core.forwarding.session import ForwardingSession
+from celeryferry_daemon._internal.forwarding.draining import DrainSchedule
 from celeryferry_daemon._internal.forwarding.log_lines import LogWriter
 from celeryferry_daemon._internal.forwarding.messages import (
     CallerRequest,
@@ -42,6 +43,9 @@
 DEFAULT_REQUEST_TIMEOUT = timedelta(seconds=30)
 # A starting host receives its configuration soon, so callers may retry early.
 UNCONFIGURED_RETRY_AFTER = timedelta(milliseconds=200)
+# The other hosts serve while this one stops, so callers may retry almost at once. The
+# delay is drawn up to this time, since many callers may be refused together.
+MAX_STOPPING_RETRY_AFTER = timedelta(milliseconds=50)
 ONE_MS = timedelta(milliseconds=1)
 
 
@@ -51,20 +55,20 @@
     :param state: configuration and upstreams in force.
     :param wire: decodes requests and encodes responses.
     :param log: receives one line per request, within its rate limit.
-    :ivar is_leaving: whether connections are closed after their next response.
     :ivar running_count: number of requests without a result.
     """
 
     __slots__ = (
         "_admission",
         "_clock",
+        "_drain_schedule",
         "_log",
         "_metrics",
         "_pool",
         "_random",
+        "_runners",
         "_state",
         "_wire",
-        "is_leaving",
         "running_count",
     )
 
@@ -86,9 +90,20 @@
         self._log = log
         self._metrics = metrics
         self._admission = Admission(MAX_RUNNING_REQUESTS)
-        self.is_leaving = False
+        self._drain_schedule: DrainSchedule | None = None
+        self._runners: set[SessionRunner] = set()
         self.running_count = 0
 
+    def begin_drain(self, schedule: DrainSchedule) -> None:
+        """Prepare for the end of the process.
+
+        From now on, each connection is closed after its next response, requests that
+        can't be answered in time are refused, and the running ones end in time.
+        """
+        self._drain_schedule = schedule
+        for runner in self._runners:
+            runner.finish_by(schedule.answers_due_at)
+
     async def handle(
         self, request: web.BaseRequest, bounds: CallerBounds
     ) -> web.StreamResponse:
@@ -134,12 +149,26 @@
         session = ForwardingSession(
             rule, services, started, time_left, self._state.session_context
         )
-        result = await self._run(session, caller_request)
+        if self._may_run(session, started + time_left):
+            result = await self._run(session, caller_request)
+        else:
+            delay = MAX_STOPPING_RETRY_AFTER * self._random.random()
+            result = NotRunResult(RefusalReason.STOPPING, delay)
         self._record_result(
             session, caller_request, result, started, configuration.version
         )
         return self._respond(self._wire.make_response(result))
 
+    def _may_run(self, session: ForwardingSession, deadline: timedelta) -> bool:
+        """Return whether a request can be answered before this host exits.
+
+        :param deadline: monotonic time until which the caller waits.
+        """
+        if self._drain_schedule is None:
+            return True
+        now = self._clock.monotonic()
+        return self._drain_schedule.may_run(session.rule, deadline - now, now)
+
     def _reject(
         self, request: web.BaseRequest, request_id: str, rejection: Rejection
     ) -> web.StreamResponse:
@@ -164,16 +193,18 @@
             retry_after = timedelta(milliseconds=refusal.retry_after_ms)
             return NotRunResult(RefusalReason.OVERLOADED, retry_after)
         started = self._clock.monotonic()
+        runner = SessionRunner(session, request, self._pool, self._wire, self._clock)
+        if self._drain_schedule is not None:
+            runner.finish_by(self._drain_schedule.answers_due_at)
+        self._runners.add(runner)
         try:
-            runner = SessionRunner(
-                session, request, self._pool, self._wire, self._clock
-            )
             return await runner.run()
         except asyncio.CancelledError:
             self._metrics.count_abandoned(rule_name)
             self._log_caller_gone(session, request)
             raise
         finally:
+            self._runners.discard(runner)
             self._admission.finish(
                 rule_name, (self._clock.monotonic() - started) / ONE_MS
             )
@@ -221,7 +252,7 @@
             headers=CIMultiDict(caller_response.headers),
             body=caller_response.body,
         )
-        if self.is_leaving:
+        if self._drain_schedule is not None:
             response.force_close()
         return response
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/listener.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/listener.py
@@ -56,6 +56,10 @@
         }
         return ListenerBounds(MAX_CONNECTIONS, bounds.head_time, options, False)
 
+    def count_unanswered(self) -> int:
+        """Return how many connections have a request or unsent bytes of a response."""
+        return sum(connection.is_unanswered for connection in self.connections)
+
     def _make_bounded_request(
         self,
         message: RawRequestMessage,
@@ -85,16 +89,14 @@
 
 
 async def start_callers_listener(
-    handler: CallersHandler, state: HostState, address: str
+    server: CallersServer, address: str
 ) -> web.ServerRunner:
     """Start the listener for callers.
 
-    :param state: holds the configuration in force.
     :param address: ``ip:port`` to listen at.
     :returns: the runner, which the caller of this function must clean up.
     :raises OSError: if the address can't be bound.
     """
-    server = CallersServer(handler, state)
     runner = web.ServerRunner(server)
     await runner.setup()
     ip, port = split_address(address)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/runner.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/runner.py
@@ -10,6 +10,7 @@
     CallerGone,
     CancelAttempt,
     Finish,
+    FinishBy,
     SendAttempt,
     SetTimer,
     TimerFired,
@@ -78,6 +79,11 @@
             if self._timer is not None:
                 self._timer.cancel()
 
+    def finish_by(self, at: timedelta) -> None:
+        """End the session at a monotonic time at the latest."""
+        event = FinishBy(at)
+        self._execute(self._session.handle(event, self._clock.monotonic()))
+
     def _execute(self, actions: list[Action]) -> None:
         for action in actions:
             match action:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/request_heads.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/request_heads.py
@@ -32,6 +32,7 @@
         "__weakref__",
         "_body",
         "_head_checks",
+        "_is_answered",
         "_is_busy",
         "_on_connected",
         "_starts_timeout_on_connect",
@@ -55,6 +56,7 @@
         # counts as unfinished.
         self._head_checks: int | None = 0 if self._starts_timeout_on_connect else None
         self._is_busy = False
+        self._is_answered = True
         super().connection_made(transport)
         self._on_connected(self)
 
@@ -76,6 +78,7 @@
         self._body = request.content
         self._head_checks = None
         self._is_busy = True
+        self._is_answered = False
 
     def end_request(self) -> None:
         """Record that the request has been handled."""
@@ -85,6 +88,23 @@
             # could not process it. Its timeout starts now.
             self._head_checks = 0
 
+    async def finish_response(self, *arguments: Any) -> Any:
+        """Write a response (called by aiohttp).
+
+        :param arguments: as aiohttp's handler takes them.
+        """
+        finished = await super().finish_response(*arguments)
+        self._is_answered = True
+        return finished
+
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether a request has no response, or bytes of a response wait to be sent."""
+        transport = self.transport
+        if transport is None:
+            return False
+        return not self._is_answered or transport.get_write_buffer_size() > 0
+
     def check_head(self) -> None:
         """Close the connection if its head was unfinished at too many checks.
 
--- a/tests/daemon/test_callers_listener.py
+++ b/tests/daemon/test_callers_listener.py
@@ -8,12 +8,16 @@
 from aiohttp import web
 
 from celeryferry_core.forwarding.models import CallerBounds, ForwardingConfiguration
-from celeryferry_daemon._internal.forwarding.listener import start_callers_listener
+from celeryferry_daemon._internal.forwarding.listener import (
+    CallersServer,
+    start_callers_listener,
+)
 from celeryferry_daemon._internal.forwarding.requests import (
     STATUS_CODES,
     Rejection,
     read_bounded_body,
 )
+from celeryferry_standins.processes import wait_until
 
 BOUNDS = CallerBounds(
     header_bytes=1000,
@@ -24,6 +28,7 @@
 TIME_LEFT = timedelta(seconds=0.4)
 # Ends a test that hangs.
 TEST_TIMEOUT_S = 10.0
+TEST_TIMEOUT = timedelta(seconds=TEST_TIMEOUT_S)
 
 
 class BodyLengthHandler:
@@ -48,12 +53,15 @@
     async def asyncSetUp(self):
         configuration = ForwardingConfiguration(1, (), {}, BOUNDS)
         self.state = SimpleNamespace(configuration=configuration)
-        runner = await start_callers_listener(
-            BodyLengthHandler(), self.state, "127.0.0.1:0"
-        )
+        self.server = CallersServer(BodyLengthHandler(), self.state)
+        runner = await start_callers_listener(self.server, "127.0.0.1:0")
         self.addAsyncCleanup(runner.cleanup)
         self.ip, self.port = runner.addresses[0]
 
+    async def is_unanswered(self) -> bool:
+        """Return whether the listener counts a request without a response."""
+        return self.server.count_unanswered() > 0
+
     async def connect(self):
         """Open a connection; it is closed after the test."""
         reader, writer = await asyncio.open_connection(self.ip, self.port)
@@ -144,3 +152,21 @@
     def test_every_rejection_has_a_status(self):
         """Guards against an internal error when a new rejection has no status."""
         self.assertEqual(set(STATUS_CODES), set(Rejection))
+
+    async def test_response_that_waits_to_be_sent_is_unanswered(self):
+        """Guards against an exit of the process before a slow caller has its answer."""
+        bounds = CallerBounds(body_bytes=100)
+        self.state.configuration = ForwardingConfiguration(2, (), {}, bounds)
+        reader, writer = await self.connect()
+        writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n")
+        await wait_until(self.is_unanswered, TEST_TIMEOUT, "the request is counted")
+        writer.write(b"x")
+        await asyncio.wait_for(reader.readuntil(b"\r\n\r\n1"), TEST_TIMEOUT_S)
+
+        async def is_answered() -> bool:
+            return not await self.is_unanswered()
+
+        await wait_until(is_answered, TEST_TIMEOUT, "the response is sent")
+        (connection,) = self.server.connections
+        connection.transport.get_write_buffer_size = lambda: 1
+        self.assertEqual(self.server.count_unanswered(), 1)
--- a/tests/daemon/test_draining.py
+++ b/tests/daemon/test_draining.py
@@ -7,6 +7,7 @@
     MIN_QUIET_TIME,
     DrainSchedule,
 )
+from tests.core.forwarding_harness import make_single_rule, ms
 
 STOP_TIME = timedelta(seconds=6)
 STEP = timedelta(milliseconds=50)
@@ -58,3 +59,53 @@
     def test_requests_are_accepted_while_callers_may_still_come(self):
         """Guards against closing the listeners while callers still use the address."""
         self.assertGreaterEqual(self.schedule.listeners_close_at, timedelta(seconds=3))
+
+
+class TestRequestsOfAStoppingHost(unittest.TestCase):
+    """Guards against running requests that are cut off when the process exits.
+
+    Such a request gets no answer at all, and one that must not be repeated can't be
+    sent again by its caller, who does not know whether it ran.
+    """
+
+    TIMEOUT = ms(4_000)
+    TARGET = ms(600)
+
+    def setUp(self):
+        self.schedule = DrainSchedule(timedelta(0), STOP_TIME)
+
+    def find_last_run(self, is_repeatable: bool, time_left: timedelta) -> timedelta:
+        """Return the latest time at which a request is still run."""
+        rule = make_single_rule(
+            is_repeatable=is_repeatable,
+            timeout=self.TIMEOUT,
+            target_latency=self.TARGET,
+        )
+        now, latest = timedelta(0), None
+        while now < STOP_TIME:
+            if self.schedule.may_run(rule, time_left, now):
+                latest = now
+            now += STEP
+        return latest
+
+    def test_order_that_can_outlive_the_process_is_refused(self):
+        """Guards against an order whose caller never learns whether it ran."""
+        latest = self.find_last_run(False, self.TIMEOUT)
+        self.assertLessEqual(latest + self.TIMEOUT, self.schedule.answers_due_at)
+        self.assertGreater(latest, self.schedule.answers_due_at - self.TIMEOUT - STEP)
+
+    def test_order_with_little_time_is_run_longer(self):
+        """Guards against refusing what will end in time in any case."""
+        latest = self.find_last_run(False, ms(500))
+        self.assertGreater(latest, timedelta(seconds=4))
+
+    def test_repeatable_request_is_run_while_its_usual_time_is_left(self):
+        """Guards against refusing quick requests early for their long deadlines."""
+        latest = self.find_last_run(True, self.TIMEOUT)
+        self.assertGreaterEqual(latest, self.schedule.listeners_close_at)
+        self.assertLess(latest + self.TARGET, self.schedule.answers_due_at)
+
+    def test_results_are_due_before_the_exit(self):
+        """Guards against an exit while the last answers are being sent."""
+        exit_at = self.schedule.answers_due_at
+        self.assertFalse(self.schedule.may_exit(1, exit_at + STEP))
