Give a listing the revision of its oldest page

Cause: the pages of a stale listing differ in age, the listing took the revision of the first page, and the watch from there skipped what had changed on older pages.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
@@ -36,8 +36,9 @@
     """Keeps the contents of a source and applies its changes to the host's state.
 
     :param log: receives a line when the source becomes unavailable or available again.
-    :ivar on_changed: called with the previous revision and the changes, each time the
-        contents have changed.
+    :ivar on_changed: called each time the contents have changed, with the previous
+        revision and the changes, or with 0 and the whole contents if items may have
+        been added and removed that this host has not seen.
     :ivar revision: revision up to which all changes are known, 0 if nothing was read.
     :ivar failed_item_count: items whose handling failed unexpectedly.
     :ivar reads_it: whether the latest call of this host has succeeded, None if it does
@@ -221,7 +222,10 @@
         # twice if a peer has sent them while a call of this host was waiting.
         newer = [item for item in changes.items if item.revision > previous_revision]
         for item in newer:
-            self._apply_item(item, now)
+            # A listing may hold items that are newer than its revision.
+            known = self._items.get(item.key)
+            if known is None or known.revision < item.revision:
+                self._apply_item(item, now)
         if changes.revision > previous_revision:
             self._set_revision(changes.revision)
             changed = SourceChanges(tuple(newer), changes.revision)
@@ -231,26 +235,27 @@
         now = self._clock.monotonic()
         previous_revision = self.revision
         listed_keys = {item.key for item in listing.items}
-        changed = [
-            SourceItem(key, listing.revision, None)
-            for key in self._items
-            if key not in listed_keys
+        removed = [
+            SourceItem(item.key, listing.revision, None)
+            for item in self._items.values()
+            if item.key not in listed_keys and item.revision <= listing.revision
         ]
-        for item in changed:
+        for item in removed:
             self._apply_item(item, now, is_confirmed)
+        has_changed = bool(removed)
         for item in listing.items:
             known = self._items.get(item.key)
             if known is None or known.revision < item.revision:
                 self._apply_item(item, now)
-                changed.append(item)
-        if previous_revision == 0:
-            self._removals_known_after = listing.revision
+                has_changed = True
+        # Items that were added and removed since the previous revision are in neither.
+        self._removals_known_after = max(self._removals_known_after, listing.revision)
         self._can_watch = True
         self._set_revision(max(self.revision, listing.revision))
-        if changed or self.revision > previous_revision:
-            self.on_changed(
-                previous_revision, SourceChanges(tuple(changed), self.revision)
-            )
+        if has_changed or self.revision > previous_revision:
+            # A peer may have one of those items, so it needs the whole contents.
+            contents = SourceChanges(tuple(self._items.values()), self.revision)
+            self.on_changed(0, contents)
 
     def _set_revision(self, revision: int) -> None:
         self.revision = revision
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/store.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/store.py
@@ -92,8 +92,9 @@
     ) -> Result[SourceChanges, SourceUnavailableError | HistoryGoneError]:
         """Read all items under a prefix.
 
-        The pages are not read from one snapshot, so the revision of the first page is
-        returned. A watch from that revision may repeat changes, but misses none.
+        The pages are not read from one snapshot, and each page of a stale read may be
+        of another age, so the lowest revision of all pages is returned. A watch from
+        that revision may repeat changes, but misses none.
 
         :param may_be_stale: whether items that are seconds old are accepted. The store
             charges a tenth for such a read and does not count it towards its rate
@@ -115,7 +116,7 @@
                     return Err(error)
                 case Ok(page):
                     pass
-            revision = page.as_of if revision is None else revision
+            revision = page.as_of if revision is None else min(revision, page.as_of)
             items += [_translate_item(item) for item in page.items]
             if not page.truncated or not page.items:
                 return Ok(SourceChanges(tuple(items), revision))
--- a/tests/daemon/test_forwarding_sources.py
+++ b/tests/daemon/test_forwarding_sources.py
@@ -270,6 +270,43 @@
         task.cancel()
         self.assertEqual(self.list_ids(), {"s0-b"})
 
+    async def test_repeated_change_does_not_replace_a_newer_item(self):
+        """Guards against an upstream that returns to a state from before its listing.
+
+        The pages of a listing are of different ages; the watch starts at the oldest.
+        """
+        await self.follow(
+            Ok(SourceChanges((make_entry("s0-a", 9), make_entry("s0-b", 3)), 4)),
+            Ok(SourceChanges((make_removal("s0-a", 6), make_removal("s0-b", 8)), 9)),
+        )
+        self.assertEqual(self.source.calls, [None, 4, 9])
+        self.assertEqual(self.list_ids(), {"s0-a"})
+
+    async def test_listing_does_not_remove_what_is_newer_than_it(self):
+        """Guards against dropping an upstream that an older page does not list yet."""
+        await self.follow(
+            Ok(SourceChanges((make_entry("s0-a", 9), make_entry("s0-b", 3)), 4)),
+            Err(HistoryGoneError("gone")),
+            Ok(SourceChanges((make_entry("s0-b", 3),), 5)),
+        )
+        self.assertEqual(self.list_ids(), {"s0-a", "s0-b"})
+
+    async def test_peers_get_the_whole_contents_after_a_new_listing(self):
+        """Guards against a peer that keeps an entry which came and went in between.
+
+        The history was lost, so this host knows of neither the entry nor its removal.
+        """
+        pushed = []
+        await self.follow(Ok(SourceChanges((make_entry("s0-a", 3),), 5)))
+        self.follower.on_changed = lambda after, changes: pushed.append(
+            (after, changes.revision, [item.key for item in changes.items])
+        )
+        self.receive(0, 12, make_entry("s0-a", 3), make_entry("s0-c", 11))
+        self.assertEqual(pushed, [(0, 12, ["s0-a", "s0-c"])])
+        after, changes = self.follower.list_changes(8)
+        self.assertEqual(after, 0, "removals before the new listing are unknown")
+        self.assertEqual({item.key for item in changes.items}, {"s0-a", "s0-c"})
+
     async def test_contents_are_unconfirmed_while_the_source_is_unavailable(self):
         """Guards against telling peers that an expired entry was deleted."""
         await self.follow(
--- a/tests/daemon/test_platform.py
+++ b/tests/daemon/test_platform.py
@@ -325,6 +325,18 @@
         self.assertEqual(changes.revision, 9)
         self.assertNotIn("serializable", self.queries[0])
 
+    async def test_listing_is_as_old_as_its_oldest_page(self):
+        """Guards against a drain that a host never sees.
+
+        The first page of a stale read is current and a later one is older. A watch from
+        the revision of the first page skips what has changed on the later one.
+        """
+        for as_of, is_truncated in ((9, True), (4, True), (6, False)):
+            page = {"items": [{"key": "k"}], "truncated": is_truncated, "as_of": as_of}
+            self.answers.append(web.json_response(page))
+        changes = (await self.client.read_all("", True)).unwrap()
+        self.assertEqual(changes.revision, 4)
+
     async def test_stale_read_is_asked_for_on_every_page(self):
         """Guards against the full price of each read when all hosts start together."""
         for is_truncated in (True, False):
