Treat an upstream that refused connections as cold on its return

Cause: hosts learned of a cold start only from the store. Ruled out: health checks, which load the upstream and need a sign that tells when to ask; treating each lost connection as a restart, as most of them mean something else. The cold time is the one that the operators state, and a return that the store does not announce is stated to the other hosts.

--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/hosts.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/hosts.py
@@ -38,6 +38,9 @@
     :param load: processor time that its requests need, in the same unit.
     :param is_ready: whether the host serves callers.
     :param is_leaving: whether the host is stopping.
+    :param restarted: instance ids of upstreams that it has seen return after they had
+        refused connections, each with the milliseconds for which it was still cold when
+        this was first stated.
     """
 
     host_id: str
@@ -50,6 +53,7 @@
     load: _NonNegative = 0.0
     is_ready: bool = False
     is_leaving: bool = False
+    restarted: tuple[tuple[str, _UnsignedInteger], ...] = ()
 
     @property
     def is_serving(self) -> bool:
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/models.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/models.py
@@ -68,10 +68,12 @@
 
     :param max_connections: connections that one upstream accepts from all hosts.
     :param cold_requests_per_s: requests per second that a cold upstream can process.
+    :param cold_time: time for which an upstream is cold after its start.
     """
 
     max_connections: int
     cold_requests_per_s: float
+    cold_time: timedelta = timedelta(0)
 
 
 class CallerBounds(msgspec.Struct, frozen=True, gc=False):
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/selection.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/selection.py
@@ -9,6 +9,7 @@
 from celeryferry_core.forwarding.health import UpstreamHealth
 from celeryferry_core.forwarding.models import ServiceBounds, Upstream
 from celeryferry_core.forwarding.registry import UpstreamRegistry
+from celeryferry_core.forwarding.restarts import RestartObservations
 from celeryferry_core.forwarding.warmup import WarmupLimits
 
 # An upstream in another failure domain is selected only if the local one is expected
@@ -39,6 +40,7 @@
     :param own_domain: failure domain of this host.
     :param registry: listed upstreams.
     :param warmup: rate limits for cold upstreams.
+    :ivar restarts: upstreams that are absent or have returned cold, as observed.
     :ivar services: limits by service, replaced when the configuration changes.
     :ivar host_count: number of hosts that share the connections of an upstream.
     :ivar sent_count: attempts sent since the start.
@@ -51,6 +53,7 @@
         "_registry",
         "_warmup",
         "host_count",
+        "restarts",
         "sent_count",
         "services",
     )
@@ -67,6 +70,7 @@
         self._warmup = warmup
         self._random = random
         self._health: dict[str, UpstreamHealth] = {}
+        self.restarts = RestartObservations()
         self.services: Mapping[str, ServiceBounds] = {}
         self.host_count = 1
         self.sent_count = 0
@@ -88,6 +92,12 @@
         """
         self._health.pop(instance_id, None)
         self._warmup.forget(instance_id)
+        self.restarts.forget(instance_id)
+
+    def is_cold(self, instance_id: str, now: timedelta) -> bool:
+        """Return whether an upstream is cold, by its entry or by its restart."""
+        is_cold_by_entry = self._registry.is_cold(instance_id, now)
+        return is_cold_by_entry or self.restarts.is_cold(instance_id, now)
 
     def choose(
         self, service: str, now: timedelta, tried: Collection[str] = ()
@@ -100,9 +110,8 @@
         :returns: the selection, or None if no upstream may receive a request now.
         """
         connection_limit = self.get_connection_limit(service)
-        registry = self._registry
         eligible, warm, healthy = [], [], []
-        for upstream in registry.list_service(service).values():
+        for upstream in self._registry.list_service(service).values():
             health = self.get_health(upstream.instance_id)
             is_excluded = (
                 upstream.instance_id in tried or health.in_flight >= connection_limit
@@ -110,7 +119,7 @@
             if is_excluded or not self._is_eligible(upstream):
                 continue
             eligible.append(upstream)
-            if registry.is_cold(upstream.instance_id, now):
+            if self.is_cold(upstream.instance_id, now):
                 continue
             warm.append(upstream)
             if health.suspected_until <= now:
@@ -122,8 +131,8 @@
     def has_eligible_upstream(self, service: str) -> bool:
         """Return whether any upstream of a service may receive work, now or soon.
 
-        Draining upstreams and failure domains out of service are excluded. Load,
-        suspicion and cold start are not considered.
+        Upstreams that are draining or refuse connections and failure domains out of
+        service are excluded. Load, suspicion and cold start are not considered.
         """
         listed = self._registry.list_service(service).values()
         return any(self._is_eligible(upstream) for upstream in listed)
@@ -132,7 +141,7 @@
         """Count an attempt that is being sent to an upstream."""
         self.sent_count += 1
         self.get_health(upstream.instance_id).in_flight += 1
-        if self._registry.is_cold(upstream.instance_id, now):
+        if self.is_cold(upstream.instance_id, now):
             self._warmup.count_sent(upstream.instance_id, now)
 
     def get_connection_limit(self, service: str) -> int:
@@ -144,8 +153,9 @@
         return max(1, int(share))
 
     def _is_eligible(self, upstream: Upstream) -> bool:
-        domains_out = self._registry.domains_out
-        return not upstream.is_draining and upstream.failure_domain not in domains_out
+        if upstream.is_draining or self.restarts.is_absent(upstream.instance_id):
+            return False
+        return upstream.failure_domain not in self._registry.domains_out
 
     def _choose_healthy(self, healthy: list[Upstream], now: timedelta) -> Selection:
         local = [u for u in healthy if u.failure_domain == self._own_domain]
@@ -166,7 +176,7 @@
         self, eligible: list[Upstream], now: timedelta
     ) -> Selection | None:
         for upstream in eligible:
-            if not self._registry.is_cold(upstream.instance_id, now):
+            if not self.is_cold(upstream.instance_id, now):
                 continue
             bounds = self.services.get(upstream.service, DEFAULT_SERVICE_BOUNDS)
             rate = bounds.cold_requests_per_s
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
@@ -197,6 +197,7 @@
     async def _run_housekeeping(self) -> None:
         while True:
             self._state.drop_missing_upstreams(self._clock.monotonic())
+            self._state.check_absent_upstreams()
             self._pool.close_expired()
             await asyncio.sleep(HOUSEKEEPING_INTERVAL.total_seconds())
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/connection.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/connection.py
@@ -67,7 +67,11 @@
 class UpstreamConnection(asyncio.Protocol):
     """A connection that carries one request at a time.
 
+    :param instance_id: instance id of the upstream.
     :param on_closed: called once, when the connection is closed.
+    :ivar has_carried_request: whether a request was sent on it.
+    :ivar is_lost: whether it was ended by the upstream or the network, and the upstream
+        had not announced that.
     :ivar has_unexpected_data: whether bytes arrived that belong to no current request;
         the connection must not be used again.
     """
@@ -81,26 +85,36 @@
         "_head_bytes",
         "_headers",
         "_interim_count",
+        "_is_ending",
         "_is_head_open",
         "_is_message_open",
         "_on_closed",
         "_outcome",
         "_parser",
+        "has_carried_request",
         "has_unexpected_data",
+        "instance_id",
         "is_closed",
+        "is_lost",
         "transport",
     )
 
-    def __init__(self, on_closed: Callable[["UpstreamConnection"], None]) -> None:
+    def __init__(
+        self, instance_id: str, on_closed: Callable[["UpstreamConnection"], None]
+    ) -> None:
+        self.instance_id = instance_id
         self._on_closed = on_closed
         self._outcome: asyncio.Future[ExchangeOutcome] | None = None
         self._accepts: ResponsePredicate = lambda response: True
         self._parser: httptools.HttpResponseParser | None = None
         self._exchange_bytes = 0
         self._interim_count = 0
+        self._is_ending = False
         self._reset_message()
+        self.has_carried_request = False
         self.has_unexpected_data = False
         self.is_closed = False
+        self.is_lost = False
         self.transport: asyncio.Transport | None = None
 
     async def exchange(
@@ -121,6 +135,7 @@
         self._exchange_bytes = 0
         self._interim_count = 0
         self._parser = httptools.HttpResponseParser(self)
+        self.has_carried_request = True
         self.transport.write(payload)
         try:
             return await self._outcome
@@ -174,6 +189,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the running exchange with ``ConnectionLost``."""
         self._set_outcome(ConnectionLost())
+        self.is_lost = not self.is_closed and not self._is_ending
         self.close()
 
     def on_message_begin(self) -> None:
@@ -217,11 +233,10 @@
             if self._interim_count > MAX_INTERIM_RESPONSES:
                 self._finish_malformed()
             return
+        keep_open = self._has_length and parser.should_keep_alive()
+        self._is_ending = not keep_open
         response = RawResponse(
-            status,
-            tuple(self._headers),
-            b"".join(self._body),
-            self._has_length and parser.should_keep_alive(),
+            status, tuple(self._headers), b"".join(self._body), keep_open
         )
         if self._accepts(response):
             self._set_outcome(response)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
@@ -191,6 +191,7 @@
             is_ready=self._is_ready(),
             is_leaving=self._is_leaving,
             load=self._load.update(sent_count, now),
+            restarted=self._state.restarts.update(now),
         )
         if changed != own:
             changed = msgspec.structs.replace(changed, sequence=own.sequence + 1)
@@ -221,6 +222,7 @@
             self._fleet.is_joined(now),
             now,
         )
+        self._state.apply_restart_reports(self._table.live.values(), now)
         for shared in self._sources.values():
             shared.update(self._fleet.is_relay, self._fleet.rank, now)
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/pool.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/pool.py
@@ -46,15 +46,39 @@
 class UpstreamPool:
     """Keep-alive connections, kept by instance id of the upstream.
 
+    When the last connection to an upstream is lost, the pool connects again at once.
+    This tells a process that has ended, which refuses the connection, from one that has
+    only closed connections.
+
+    :ivar on_reached: called with each upstream that has accepted a connection, and the
+        monotonic time.
+    :ivar on_refused: called with each upstream that refuses connections while none to
+        it is open.
     :ivar opened_count: connections opened since the start.
     """
 
-    __slots__ = ("_busy", "_clock", "_idle", "opened_count")
+    __slots__ = (
+        "_busy",
+        "_checks",
+        "_clock",
+        "_idle",
+        "_open_connections",
+        "on_reached",
+        "on_refused",
+        "opened_count",
+    )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._idle: dict[str, list[_IdleConnection]] = {}
         self._busy: set[UpstreamConnection] = set()
+        # Open connections by instance id, each with its upstream.
+        self._open_connections: dict[str, dict[UpstreamConnection, Upstream]] = {}
+        self._checks: dict[str, asyncio.Task] = {}
+        self.on_reached: Callable[[Upstream, timedelta], None] = lambda upstream, now: (
+            None
+        )
+        self.on_refused: Callable[[Upstream], None] = lambda upstream: None
         self.opened_count = 0
 
     async def exchange(
@@ -113,8 +137,27 @@
             if not idle_connections:
                 self._idle.pop(instance_id, None)
 
+    def check_presence(self, upstream: Upstream) -> None:
+        """Connect to an upstream in the background; nothing is sent.
+
+        ``on_reached`` or ``on_refused`` tells the result. A check that is under way is
+        not repeated.
+        """
+        instance_id = upstream.instance_id
+        if instance_id not in self._checks:
+            task = asyncio.get_running_loop().create_task(self._connect_idle(upstream))
+            self._checks[instance_id] = task
+            task.add_done_callback(lambda _: self._checks.pop(instance_id, None))
+
+    async def _connect_idle(self, upstream: Upstream) -> None:
+        connection = await self._open(upstream)
+        if connection is not None:
+            self._release(upstream, connection, None)
+
     def close(self) -> None:
         """Close all connections, including those with a running exchange."""
+        for check in list(self._checks.values()):
+            check.cancel()
         for instance_id in list(self._idle):
             self.close_idle(instance_id)
         for connection in list(self._busy):
@@ -129,12 +172,26 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
                 _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(self._forget_closed), ip, port
+                    lambda: UpstreamConnection(
+                        upstream.instance_id, self._forget_closed
+                    ),
+                    ip,
+                    port,
                 )
+        except ConnectionRefusedError:
+            # With an open connection the process exists, and only refuses more.
+            if upstream.instance_id not in self._open_connections:
+                self.on_refused(upstream)
+            return None
         except (OSError, ValueError, OverflowError, TimeoutError):
             return None
         self.opened_count += 1
+        if connection.is_closed:
+            return None
+        opened = self._open_connections.setdefault(upstream.instance_id, {})
+        opened[connection] = upstream
         self._busy.add(connection)
+        self.on_reached(upstream, self._clock.monotonic())
         return connection
 
     async def _exchange(
@@ -191,12 +248,25 @@
 
     def _forget_closed(self, connection: UpstreamConnection) -> None:
         self._busy.discard(connection)
+        self._count_closed(connection)
         for idle_connections in self._idle.values():
             for idle in idle_connections:
                 if idle.connection is connection:
                     idle_connections.remove(idle)
                     return
 
+    def _count_closed(self, connection: UpstreamConnection) -> None:
+        opened = self._open_connections.get(connection.instance_id, {})
+        # A connection may also close while it is being opened.
+        upstream = opened.pop(connection, None)
+        if upstream is None or opened:
+            return
+        del self._open_connections[connection.instance_id]
+        # A connection that carried nothing is not replaced, as an upstream with a short
+        # idle timeout would close its successors, too.
+        if connection.is_lost and connection.has_carried_request:
+            self.check_presence(upstream)
+
 
 def compute_max_idle_time(response: RawResponse | None) -> timedelta:
     """Return how long a connection may stay idle and still be used again.
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
@@ -3,16 +3,21 @@
 They are read and changed only on the event loop, so there are no locks.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from datetime import timedelta
 
 from celeryferry_core.environment import RandomSource
 from celeryferry_core.forwarding.budgets import BudgetLimits, ExtraAttemptBudgets
 from celeryferry_core.forwarding.cold_senders import ColdSenders
-from celeryferry_core.forwarding.models import ForwardingConfiguration
+from celeryferry_core.forwarding.hosts import HostInfo
+from celeryferry_core.forwarding.models import ForwardingConfiguration, Upstream
 from celeryferry_core.forwarding.registry import UpstreamRegistry
+from celeryferry_core.forwarding.restarts import RestartObservations, is_new_process
 from celeryferry_core.forwarding.rules import RuleTable, list_services
-from celeryferry_core.forwarding.selection import UpstreamSelector
+from celeryferry_core.forwarding.selection import (
+    DEFAULT_SERVICE_BOUNDS,
+    UpstreamSelector,
+)
 from celeryferry_core.forwarding.session import SessionContext
 from celeryferry_core.forwarding.timing import TimesByRule
 from celeryferry_core.forwarding.warmup import WarmupLimits
@@ -53,6 +58,7 @@
         "_log",
         "_pool",
         "_rejected_keys",
+        "_reports_seen",
         "configuration",
         "rejected_count",
         "session_context",
@@ -79,6 +85,8 @@
         self._rejected_keys: set[str] = set()
         self.rejected_count = 0
         self.registry = UpstreamRegistry()
+        # Reports of other hosts that were applied, by host id.
+        self._reports_seen: dict[str, tuple[tuple[str, int], ...]] = {}
         self.warmup = WarmupLimits(
             ColdSenders(settings.host_id, now),
             settings.cold_excess,
@@ -89,6 +97,8 @@
         )
         budgets = ExtraAttemptBudgets(_read_budget_limits(settings))
         self.session_context = SessionContext(selector, budgets, TimesByRule(), random)
+        pool.on_refused = self._record_refused
+        pool.on_reached = self._record_reached
 
     def replace_settings(self, settings: ForwardingSettings) -> None:
         """Apply the limits of changed settings: extra requests and cold upstreams."""
@@ -134,7 +144,10 @@
         match change:
             case UpstreamListed(key, upstream):
                 self._rejected_keys.discard(key)
+                known = self.registry.get(upstream.instance_id)
                 if self.registry.put(upstream, now):
+                    if is_new_process(upstream, known):
+                        self.restarts.forget(upstream.instance_id)
                     self._log.write("upstream_listed", upstream=upstream)
             case UpstreamUnlisted(key, instance_id):
                 self._rejected_keys.discard(key)
@@ -154,6 +167,54 @@
             case ItemRejected(key, reason):
                 self._reject(key, reason)
 
+    @property
+    def restarts(self) -> RestartObservations:
+        """Upstreams that are absent or have returned cold, as observed."""
+        return self.session_context.selector.restarts
+
+    def check_absent_upstreams(self) -> None:
+        """Try to connect to the upstreams that refuse connections."""
+        for instance_id in self.restarts.list_absent():
+            upstream = self.registry.get(instance_id)
+            if upstream is None:
+                self.restarts.forget(instance_id)
+            else:
+                self._pool.check_presence(upstream)
+
+    def apply_restart_reports(self, hosts: Iterable[HostInfo], now: timedelta) -> None:
+        """Apply what other hosts have seen of upstreams that returned.
+
+        :param hosts: statements of live hosts.
+        """
+        reports = {host.host_id: host.restarted for host in hosts if host.restarted}
+        for host_id, report in reports.items():
+            known = self._reports_seen.get(host_id, ())
+            for instance_id, left_ms in set(report).difference(known):
+                upstream = self.registry.get(instance_id)
+                if upstream is not None and host_id != self._host_id:
+                    cold_time = self._get_cold_time(upstream)
+                    time_left = min(cold_time, timedelta(milliseconds=left_ms))
+                    self.restarts.record_reported(instance_id, time_left, now)
+        self._reports_seen = reports
+
+    def _record_refused(self, upstream: Upstream) -> None:
+        is_listed = self.registry.get(upstream.instance_id) is not None
+        if is_listed and self.restarts.record_refused(upstream.instance_id):
+            self._log.write("upstream_absent", instance_id=upstream.instance_id)
+
+    def _record_reached(self, upstream: Upstream, now: timedelta) -> None:
+        cold_time = self._get_cold_time(upstream)
+        if self.restarts.record_reached(upstream.instance_id, cold_time, now):
+            self._log.write(
+                "upstream_returned",
+                instance_id=upstream.instance_id,
+                cold_for_s=cold_time.total_seconds(),
+            )
+
+    def _get_cold_time(self, upstream: Upstream) -> timedelta:
+        services = self.session_context.selector.services
+        return services.get(upstream.service, DEFAULT_SERVICE_BOUNDS).cold_time
+
     def drop_missing_upstreams(self, now: timedelta) -> None:
         """Remove upstreams whose entries did not return within the grace period.
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/entries.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/entries.py
@@ -80,6 +80,7 @@
     name: str
     max_conns: _Count = 16
     warmup_per_s: _Rate = 0.0
+    warmup_s: Annotated[float, Meta(ge=0, le=86_400)] = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -130,7 +131,11 @@
     except InvalidEntryError as error:
         return Err(error)
     services = {
-        backend.name: ServiceBounds(backend.max_conns, backend.warmup_per_s)
+        backend.name: ServiceBounds(
+            backend.max_conns,
+            backend.warmup_per_s,
+            timedelta(seconds=backend.warmup_s),
+        )
         for backend in document.backends
     }
     limits = document.limits
--- a/tests/core/test_upstream_choice.py
+++ b/tests/core/test_upstream_choice.py
@@ -4,7 +4,12 @@
 from datetime import timedelta
 
 from celeryferry_core.forwarding.events import AttemptEnded
-from celeryferry_core.forwarding.outcomes import LossReason, Lost, NotRunResult
+from celeryferry_core.forwarding.outcomes import (
+    LossReason,
+    Lost,
+    NotRunResult,
+    RefusalReason,
+)
 from tests.core.forwarding_harness import (
     ForwardingHarness,
     answer_all,
@@ -89,6 +94,42 @@
         harness.run(make_single_rule())
         self.assertEqual(harness.sent, [])
 
+    def test_absent_upstream_gets_nothing(self):
+        """Guards against attempts at an upstream that refuses connections."""
+        harness = ForwardingHarness(domains="ab")
+        harness.context.selector.restarts.record_refused("orders-a")
+        harness.run(make_single_rule())
+        self.assertEqual([a.upstream.instance_id for a in harness.sent], ["orders-b"])
+
+    def test_request_is_refused_at_once_if_all_upstreams_are_absent(self):
+        """Guards against a caller that waits for what is known to be unservable."""
+        harness = ForwardingHarness(domains="a")
+        harness.context.selector.restarts.record_refused("orders-a")
+        result = harness.run(make_single_rule())
+        self.assertEqual(result.reason, RefusalReason.NO_UPSTREAM)
+        self.assertEqual(harness.elapsed, timedelta(0))
+
+    def test_returned_upstream_is_cold(self):
+        """Guards against the full load for an upstream that has just restarted.
+
+        Pattern: it crashes and returns while the source is unavailable, so that its
+        entry still describes the process before.
+        """
+        harness = ForwardingHarness(domains="a")
+        restarts = harness.context.selector.restarts
+        restarts.record_refused("orders-a")
+        restarts.record_reached("orders-a", timedelta(seconds=3), harness.now)
+        sent = 0
+        end = harness.now + timedelta(seconds=1)
+        while harness.now < end:
+            harness.run(make_single_rule())
+            sent += len(harness.sent)
+            harness.now += ms(10)
+        self.assertLessEqual(sent, 5)
+        harness.now = end + timedelta(seconds=2)
+        harness.run(make_single_rule())
+        self.assertEqual(len(harness.sent), 1)
+
     def test_warm_upstream_elsewhere_is_preferred_to_a_cold_one(self):
         """Guards against needless work for cold upstreams."""
         harness = ForwardingHarness()
