Limit the sum of all responses that are being received

Report of other operators: a replica sent bytes without end, and the machine that had called it ran out of memory. Ruled out: a smaller limit for each, as the size of an answer is not stated anywhere. Change: 32 MiB for all; beyond it the largest response is given up as a bad one. Before: the new test fails after 20 s without a given up response. After: it passes, and the module's 27 tests pass.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/connection.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/connection.py
@@ -19,6 +19,9 @@
 MAX_HEAD_BYTES = 65_536
 MAX_EXCHANGE_BYTES = MAX_RESPONSE_BYTES + MAX_HEAD_BYTES
 MAX_INTERIM_RESPONSES = 8
+# Limit on the bytes of all responses that are being received. A quarter of the memory
+# of a small machine (152 MB); parts of merged answers take 1 KB each.
+MAX_RECEIVED_BYTES = 32 * 1_048_576
 # Set on every connection. If the bytes of a request are not acknowledged within this
 # time, the kernel closes the connection, so that the loss of the upstream's machine is
 # detected without waiting for the response.
@@ -64,10 +67,39 @@
 ResponsePredicate = Callable[[RawResponse], bool]
 
 
+class ReceivedBytes:
+    """Counts the bytes of the responses that are being received, and limits their sum.
+
+    Each response is limited on its own, but several upstreams can send without end at
+    the same time. Beyond the limit, the largest response is given up.
+
+    :ivar total: bytes of all responses.
+    """
+
+    __slots__ = ("_by_connection", "total")
+
+    def __init__(self) -> None:
+        self._by_connection: dict[UpstreamConnection, int] = {}
+        self.total = 0
+
+    def add(self, connection: "UpstreamConnection", count: int) -> None:
+        """Count bytes of a response; ends the largest one if the sum is too large."""
+        self._by_connection[connection] = self._by_connection.get(connection, 0) + count
+        self.total += count
+        if self.total > MAX_RECEIVED_BYTES:
+            largest = max(self._by_connection, key=self._by_connection.__getitem__)
+            largest.give_up()
+
+    def release(self, connection: "UpstreamConnection") -> None:
+        """Forget the bytes of a response that is complete or was given up."""
+        self.total -= self._by_connection.pop(connection, 0)
+
+
 class UpstreamConnection(asyncio.Protocol):
     """A connection that carries one request at a time.
 
     :param instance_id: instance id of the upstream.
+    :param received: counts the bytes of all responses.
     :param on_closed: called once, when the connection is closed.
     :ivar has_carried_request: whether a request was sent on it.
     :ivar is_lost: whether it was ended by the upstream or the network, and the upstream
@@ -91,6 +123,7 @@
         "_on_closed",
         "_outcome",
         "_parser",
+        "_received",
         "has_carried_request",
         "has_unexpected_data",
         "instance_id",
@@ -100,9 +133,13 @@
     )
 
     def __init__(
-        self, instance_id: str, on_closed: Callable[["UpstreamConnection"], None]
+        self,
+        instance_id: str,
+        received: ReceivedBytes,
+        on_closed: Callable[["UpstreamConnection"], None],
     ) -> None:
         self.instance_id = instance_id
+        self._received = received
         self._on_closed = on_closed
         self._outcome: asyncio.Future[ExchangeOutcome] | None = None
         self._accepts: ResponsePredicate = lambda response: True
@@ -146,6 +183,12 @@
             self._outcome = None
             self._parser = None
             self._reset_message()
+            self._received.release(self)
+
+    def give_up(self) -> None:
+        """End the running exchange, as its response is too large."""
+        self._received.release(self)
+        self._finish_malformed()
 
     def close(self) -> None:
         """Close the connection without sending what is still buffered."""
@@ -167,6 +210,9 @@
             self.close()
             return
         self._exchange_bytes += len(data)
+        self._received.add(self, len(data))
+        if self._is_done():
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -248,6 +294,7 @@
         return self._outcome is None or self._outcome.done()
 
     def _finish_malformed(self) -> None:
+        self._reset_message()
         self._set_outcome(MalformedResponse())
         self.close()
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/pool.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/pool.py
@@ -15,6 +15,7 @@
     ConnectionLost,
     MalformedResponse,
     RawResponse,
+    ReceivedBytes,
     ResponsePredicate,
     UpstreamConnection,
 )
@@ -63,6 +64,7 @@
         "_clock",
         "_idle",
         "_open_connections",
+        "_received",
         "on_reached",
         "on_refused",
         "opened_count",
@@ -75,6 +77,7 @@
         # Open connections by instance id, each with its upstream.
         self._open_connections: dict[str, dict[UpstreamConnection, Upstream]] = {}
         self._checks: dict[str, asyncio.Task] = {}
+        self._received = ReceivedBytes()
         self.on_reached: Callable[[Upstream, timedelta], None] = lambda upstream, now: (
             None
         )
@@ -173,7 +176,7 @@
             async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
                 _, connection = await loop.create_connection(
                     lambda: UpstreamConnection(
-                        upstream.instance_id, self._forget_closed
+                        upstream.instance_id, self._received, self._forget_closed
                     ),
                     ip,
                     port,
--- a/tests/daemon/test_forwarding_connections.py
+++ b/tests/daemon/test_forwarding_connections.py
@@ -12,6 +12,8 @@
 from celeryferry_daemon._internal.forwarding.connection import (
     MAX_EXCHANGE_BYTES,
     MAX_HEAD_BYTES,
+    MAX_RECEIVED_BYTES,
+    MAX_RESPONSE_BYTES,
     RawResponse,
 )
 from celeryferry_daemon._internal.forwarding.pool import (
@@ -325,6 +327,34 @@
         self._add_endless(b"", EARLIER_RESPONSE * 100)
         await self._check_given_up(MAX_EXCHANGE_BYTES)
 
+    async def test_many_large_responses_at_once(self):
+        """Guards against running out of memory by responses that are each allowed."""
+        size = MAX_RESPONSE_BYTES - 1_000
+        count = MAX_RECEIVED_BYTES // size + 3
+        head = self.HEAD + b"Content-Length: %d\r\n\r\n" % MAX_RESPONSE_BYTES
+
+        async def script(writer) -> bool:
+            writer.write(head + b"x" * size)
+            await writer.drain()
+            return False
+
+        self.scripts += [script] * count
+        exchanges = [asyncio.create_task(self._exchange()) for _ in range(count)]
+        done, pending = await asyncio.wait(
+            exchanges,
+            timeout=TEST_TIMEOUT.total_seconds(),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        self.assertEqual(
+            {task.result() for task in done}, {Lost(LossReason.BAD_RESPONSE)}
+        )
+        self._add_response(WITH_LENGTH)
+        self.assertEqual((await self._exchange()).body, b"body")
+        for task in pending:
+            task.cancel()
+        await asyncio.gather(*pending, return_exceptions=True)
+        self.assertEqual(self.pool._received.total, 0)
+
 
 class TestEndInTheMiddle(ScriptedServerTestCase):
     """Guards against a part of a response that is passed on as the whole.
