Forward request bodies as they came

Cause: the listener for callers left aiohttp's decompression on. Ruled out: dropping the label, since callers may have signed the bytes. Change: no decompression at the listeners for callers and for peers; the size limit applies to the bytes that arrive.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
@@ -154,7 +154,8 @@
         peers.add_routes(self._peers.make_routes())
         peers.add_routes([web.get("/metrics", self._handle_metrics)])
         await self._start_runner(
-            web.AppRunner(peers, access_log=None), settings.peers_address
+            web.AppRunner(peers, access_log=None, auto_decompress=False),
+            settings.peers_address,
         )
         callers_runner = await start_callers_listener(
             self._callers_server, settings.callers_address
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/listener.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/listener.py
@@ -50,6 +50,8 @@
         bounds = self.read_bounds()
         options = {
             "access_log": None,
+            # Bodies are forwarded with their headers, so their bytes must not change.
+            "auto_decompress": False,
             "max_line_size": bounds.header_bytes,
             "max_field_size": bounds.header_bytes,
             "keepalive_timeout": bounds.idle_time.total_seconds(),
--- a/tests/daemon/test_callers_listener.py
+++ b/tests/daemon/test_callers_listener.py
@@ -1,7 +1,9 @@
 """Tests of the limits on callers of the forwarding daemon, over real connections."""
 
 import asyncio
+import gzip
 import unittest
+import zlib
 from datetime import timedelta
 from types import SimpleNamespace
 
@@ -170,3 +172,78 @@
         (connection,) = self.server.connections
         connection.transport.get_write_buffer_size = lambda: 1
         self.assertEqual(self.server.count_unanswered(), 1)
+
+
+class EchoHandler:
+    """Handler that answers with the body as it was read."""
+
+    async def handle(self, request, bounds):
+        """Read the body within the limits and return it."""
+        result = await read_bounded_body(request, bounds, TIME_LEFT)
+        if result.is_err():
+            return web.Response(status=STATUS_CODES[result.unwrap_err()])
+        return web.Response(body=result.unwrap())
+
+
+class TestEncodedBodies(unittest.IsolatedAsyncioTestCase):
+    """Guards against bodies that reach an upstream changed.
+
+    The listener used to decompress bodies, while their Content-Encoding was passed on.
+    """
+
+    PLAIN = b"one plaque " * 3
+    BODIES = {
+        "gzip": gzip.compress(PLAIN),
+        "deflate": zlib.compress(PLAIN),
+        "br": b"\x0b\x02\x80plaque\x03",
+        "zstd": b"\x28\xb5\x2f\xfd\x20\x05\x29\x00\x00plaque",
+        "gzip, deflate": zlib.compress(gzip.compress(PLAIN)),
+        "x-unknown": PLAIN,
+        "GZIP": gzip.compress(PLAIN)[:-3],
+        "identity": b"",
+    }
+
+    async def asyncSetUp(self):
+        state = SimpleNamespace(
+            configuration=ForwardingConfiguration(1, (), {}, BOUNDS)
+        )
+        runner = await start_callers_listener(
+            CallersServer(EchoHandler(), state), "127.0.0.1:0"
+        )
+        self.addAsyncCleanup(runner.cleanup)
+        self.address = runner.addresses[0]
+
+    async def exchange(self, lines: list[str], body: bytes) -> tuple[int, bytes]:
+        """Send a request and return the status and the body of the response."""
+        reader, writer = await asyncio.open_connection(*self.address)
+        self.addCleanup(writer.close)
+        head = "\r\n".join(["POST / HTTP/1.1", "Host: a", *lines, "", ""])
+        writer.write(head.encode() + body)
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            response = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+            length = response.partition("content-length: ")[2].partition("\r\n")[0]
+            return int(response.split()[1]), await reader.readexactly(int(length))
+
+    async def test_bodies_with_a_length_are_unchanged(self):
+        """Guards against an upstream that can't read what its label says."""
+        for encoding, body in self.BODIES.items():
+            lines = [f"Content-Encoding: {encoding}", f"Content-Length: {len(body)}"]
+            with self.subTest(encoding):
+                self.assertEqual(await self.exchange(lines, body), (200, body))
+
+    async def test_chunked_bodies_are_unchanged(self):
+        """Guards against decompression where the length is not known before."""
+        for encoding, body in self.BODIES.items():
+            lines = [f"Content-Encoding: {encoding}", "Transfer-Encoding: chunked"]
+            chunks = [body[:5], body[5:]]
+            framed = b"".join(b"%x\r\n%s\r\n" % (len(c), c) for c in chunks if c)
+            with self.subTest(encoding):
+                answer = await self.exchange(lines, framed + b"0\r\n\r\n")
+                self.assertEqual(answer, (200, body))
+
+    async def test_limit_applies_to_the_bytes_that_arrive(self):
+        """Guards against a body that passes a limit by its size before or after."""
+        body = gzip.compress(b"x" * 10 * BOUNDS.body_bytes)
+        self.assertLess(len(body), BOUNDS.body_bytes)
+        lines = ["Content-Encoding: gzip", f"Content-Length: {len(body)}"]
+        self.assertEqual(await self.exchange(lines, body), (200, body))
