Obey upstreams that say that they leave or want a pause

Ruled out: trusting the entry again once it says ready, as it may be stale; ending a pause at the same moment on all hosts. Change: decoded in platform/wire, decided in forwarding/notices on the passed-in clock. Leaving belongs to the process (id and start), holds whatever entries say, is stated to other hosts and passed on by relays; a pause holds for the host that was told, its end is spread and the return gradual. Both are checked for each choice and again before sending; what can't be served is refused at once with the rest of the pause. An attempt that was not sent no longer counts against its upstream. Not done: the comparison of p50, p99, refusals and extra work with the code before.

--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/hosts.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/hosts.py
@@ -41,6 +41,8 @@
     :param restarted: instance ids of upstreams that it has seen return after they had
         refused connections, each with the milliseconds for which it was still cold when
         this was first stated.
+    :param leaving: instance ids of upstreams that leave, each with the time of its
+        start in Unix milliseconds.
     """
 
     host_id: str
@@ -54,6 +56,7 @@
     is_ready: bool = False
     is_leaving: bool = False
     restarted: tuple[tuple[str, _UnsignedInteger], ...] = ()
+    leaving: tuple[tuple[str, int], ...] = ()
 
     @property
     def is_serving(self) -> bool:
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/observations.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/observations.py
@@ -40,6 +40,8 @@
         case Succeeded():
             health.record_success(times.get_relative_time(elapsed), now)
             times.record(elapsed)
+        case Refused(RefusalReason.NOT_SENT):
+            pass
         case Refused(RefusalReason.UPSTREAM_REFUSED):
             health.record_refusal(now)
         case Lost(LossReason.CANCELLED):
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/registry.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/registry.py
@@ -1,6 +1,6 @@
 """Upstreams listed by service discovery, and failure domains out of service."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from datetime import timedelta
 
 from celeryferry_core.forwarding.models import Upstream
@@ -50,6 +50,10 @@
         """Return a listed upstream by the id of its instance."""
         return self._upstreams.get(instance_id)
 
+    def list_all(self) -> Iterable[Upstream]:
+        """Return all listed upstreams."""
+        return self._upstreams.values()
+
     def list_service(self, service: str) -> Mapping[str, Upstream]:
         """Return the listed upstreams of a service by instance id."""
         return self._by_service.get(service, {})
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/selection.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/selection.py
@@ -8,6 +8,7 @@
 from celeryferry_core.environment import RandomSource
 from celeryferry_core.forwarding.health import UpstreamHealth
 from celeryferry_core.forwarding.models import ServiceBounds, Upstream
+from celeryferry_core.forwarding.notices import UpstreamNotices
 from celeryferry_core.forwarding.registry import UpstreamRegistry
 from celeryferry_core.forwarding.restarts import RestartObservations
 from celeryferry_core.forwarding.warmup import WarmupLimits
@@ -40,6 +41,7 @@
     :param own_domain: failure domain of this host.
     :param registry: listed upstreams.
     :param warmup: rate limits for cold upstreams.
+    :ivar notices: upstreams that have said that they leave or want a pause.
     :ivar restarts: upstreams that are absent or have returned cold, as observed.
     :ivar services: limits by service, replaced when the configuration changes.
     :ivar host_count: number of hosts that share the connections of an upstream.
@@ -53,6 +55,7 @@
         "_registry",
         "_warmup",
         "host_count",
+        "notices",
         "restarts",
         "sent_count",
         "services",
@@ -70,6 +73,7 @@
         self._warmup = warmup
         self._random = random
         self._health: dict[str, UpstreamHealth] = {}
+        self.notices = UpstreamNotices(random)
         self.restarts = RestartObservations()
         self.services: Mapping[str, ServiceBounds] = {}
         self.host_count = 1
@@ -85,7 +89,7 @@
             health = self._health[instance_id] = UpstreamHealth()
         return health
 
-    def forget(self, instance_id: str) -> None:
+    def forget(self, instance_id: str, now: timedelta) -> None:
         """Drop the observations and request counts of an upstream that is gone.
 
         :param instance_id: id of the upstream's instance.
@@ -93,6 +97,7 @@
         self._health.pop(instance_id, None)
         self._warmup.forget(instance_id)
         self.restarts.forget(instance_id)
+        self.notices.record_gone(instance_id, now)
 
     def is_cold(self, instance_id: str, now: timedelta) -> bool:
         """Return whether an upstream is cold, by its entry or by its restart."""
@@ -116,7 +121,9 @@
             is_excluded = (
                 upstream.instance_id in tried or health.in_flight >= connection_limit
             )
-            if is_excluded or not self._is_eligible(upstream):
+            if is_excluded or not self.may_use(upstream, now):
+                continue
+            if self.notices.is_held_back(upstream.instance_id, now):
                 continue
             eligible.append(upstream)
             if self.is_cold(upstream.instance_id, now):
@@ -128,14 +135,35 @@
             return self._choose_healthy(healthy, now)
         return self._choose_cold(eligible, now) or self._choose_suspected(warm)
 
-    def has_eligible_upstream(self, service: str) -> bool:
+    def has_usable_upstream(self, service: str, now: timedelta) -> bool:
         """Return whether any upstream of a service may receive work, now or soon.
 
-        Upstreams that are draining or refuse connections and failure domains out of
-        service are excluded. Load, suspicion and cold start are not considered.
+        Load, suspicion and cold start are not considered.
         """
         listed = self._registry.list_service(service).values()
-        return any(self._is_eligible(upstream) for upstream in listed)
+        return any(self.may_use(upstream, now) for upstream in listed)
+
+    def get_pause_left(self, service: str, now: timedelta) -> timedelta:
+        """Return how long all upstreams of a service still want a pause.
+
+        :returns: zero if one may be used, or if there is none that could be.
+        """
+        ends = [
+            self.notices.get_pause_end(upstream.instance_id, now)
+            for upstream in self._registry.list_service(service).values()
+            if self._is_in_service(upstream)
+        ]
+        return min(ends, default=now) - now
+
+    def may_use(self, upstream: Upstream, now: timedelta) -> bool:
+        """Return whether an upstream may receive work at all.
+
+        Excluded are upstreams that are draining or leave, refuse connections or want a
+        pause, and failure domains out of service. This may change between the selection
+        and the sending.
+        """
+        is_paused = self.notices.is_paused(upstream.instance_id, now)
+        return not is_paused and self._is_in_service(upstream)
 
     def count_sent(self, upstream: Upstream, now: timedelta) -> None:
         """Count an attempt that is being sent to an upstream."""
@@ -152,8 +180,10 @@
         )
         return max(1, int(share))
 
-    def _is_eligible(self, upstream: Upstream) -> bool:
-        if upstream.is_draining or self.restarts.is_absent(upstream.instance_id):
+    def _is_in_service(self, upstream: Upstream) -> bool:
+        if upstream.is_draining or self.notices.is_leaving(upstream):
+            return False
+        if self.restarts.is_absent(upstream.instance_id):
             return False
         return upstream.failure_domain not in self._registry.domains_out
 
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/session.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/session.py
@@ -20,6 +20,7 @@
     TimerFired,
 )
 from celeryferry_core.forwarding.models import ForwardingRule
+from celeryferry_core.forwarding.notices import RETURN_TIME
 from celeryferry_core.forwarding.observations import mark_overdue, record_outcome
 from celeryferry_core.forwarding.outcomes import (
     Failed,
@@ -60,6 +61,8 @@
 # Maximum number of refused attempts of a shard that are retried; the shard fails with
 # the next refusal. A refusal costs the upstream little, but each one takes time.
 MAX_RETRIED_REFUSALS = 3
+# Reasons for which nothing was sent to the upstream.
+UNSENT_REASONS = (RefusalReason.CONNECT_FAILED, RefusalReason.NOT_SENT)
 # Delay before a retry by the caller, as a fraction of the time that the caller has
 # left: at least 15 and less than 30 per cent. The random addition keeps callers that
 # were refused together from retrying at the same time.
@@ -149,7 +152,7 @@
             return self._drain_actions()
         for shard in self._shards:
             self._context.budgets.count_request(shard.service, now)
-        if self._count_eligible_shards() < self._required:
+        if self._count_usable_shards(now) < self._required:
             self._finish(self._refuse(RefusalReason.NO_UPSTREAM, now), now)
             return self._drain_actions()
         self._send_first_attempts(now)
@@ -199,9 +202,8 @@
                 shard.last_outcome = event.outcome
                 shard.run_count -= 1
                 shard.refusal_count += 1
-                # If the connection failed, the request did not reach the upstream and
-                # its retry needs no budget.
-                needs_budget = reason is not RefusalReason.CONNECT_FAILED
+                # A retry of a request that did not reach the upstream needs no budget.
+                needs_budget = reason not in UNSENT_REASONS
                 self._retry(shard, now, needs_budget)
             case Failed() | Lost():
                 shard.last_outcome = event.outcome
@@ -295,7 +297,7 @@
         selections = [choose(shard.service, now) for shard in self._shards]
         self._first_send_retry_at = None
         if sum(candidate is not None for candidate in selections) < self._required:
-            if self._may_wait(now):
+            if self._may_wait(now) and self._count_usable_shards(now) >= self._required:
                 self._first_send_retry_at = now + UPSTREAM_RECHECK_INTERVAL
             else:
                 self._finish(self._refuse(RefusalReason.NO_UPSTREAM, now), now)
@@ -323,7 +325,8 @@
         return now + UPSTREAM_RECHECK_INTERVAL <= min(wait_until, self._finish_at)
 
     def _wait_or_fail(self, shard: ShardState, now: timedelta) -> None:
-        if self._may_wait(now) and not shard.tried:
+        is_usable = self._context.selector.has_usable_upstream(shard.service, now)
+        if is_usable and self._may_wait(now) and not shard.tried:
             shard.retry_at = now + UPSTREAM_RECHECK_INTERVAL
             return
         shard.has_failed = True
@@ -340,9 +343,18 @@
         shard.run_count += 1
         self._actions.append(SendAttempt(attempt_id, upstream, self._finish_at))
 
-    def _count_eligible_shards(self) -> int:
-        has_eligible_upstream = self._context.selector.has_eligible_upstream
-        return sum(has_eligible_upstream(shard.service) for shard in self._shards)
+    def may_send(self, attempt_id: int, now: timedelta) -> bool:
+        """Return whether an attempt may still be sent to its upstream.
+
+        The upstream may have said that it leaves or wants a pause while the attempt
+        waited for a connection.
+        """
+        upstream = self.attempts[attempt_id].upstream
+        return self._context.selector.may_use(upstream, now)
+
+    def _count_usable_shards(self, now: timedelta) -> int:
+        has_usable_upstream = self._context.selector.has_usable_upstream
+        return sum(has_usable_upstream(shard.service, now) for shard in self._shards)
 
     def _advance(self, now: timedelta) -> list[Action]:
         for action in self._actions:
@@ -385,7 +397,18 @@
             MIN_RETRY_AFTER_RATIO
             + RETRY_AFTER_JITTER_RATIO * self._context.random.random()
         )
-        return NotRunResult(reason, remaining * ratio)
+        return NotRunResult(reason, max(remaining * ratio, self._get_pause_left(now)))
+
+    def _get_pause_left(self, now: timedelta) -> timedelta:
+        """Return the time before which a retry at this host is useless.
+
+        Then enough shards have an upstream that does not want a pause. The random
+        addition spreads the callers that were refused in the meantime.
+        """
+        get_pause_left = self._context.selector.get_pause_left
+        pauses = sorted(get_pause_left(shard.service, now) for shard in self._shards)
+        left = pauses[self._required - 1]
+        return left + RETURN_TIME * self._context.random.random() if left else left
 
     def _arm_timer(self, now: timedelta) -> None:
         times = [self._finish_at]
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/callers.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/callers.py
@@ -9,7 +9,8 @@
 
 from celeryferry_core.admission import Admission
 from celeryferry_core.environment import Clock, RandomSource
-from celeryferry_core.forwarding.models import CallerBounds
+from celeryferry_core.forwarding.models import CallerBounds, Upstream
+from celeryferry_core.forwarding.notices import UpstreamNotice
 from celeryferry_core.forwarding.outcomes import (
     Merged,
     NotRunResult,
@@ -193,7 +194,14 @@
             retry_after = timedelta(milliseconds=refusal.retry_after_ms)
             return NotRunResult(RefusalReason.OVERLOADED, retry_after)
         started = self._clock.monotonic()
-        runner = SessionRunner(session, request, self._pool, self._wire, self._clock)
+        runner = SessionRunner(
+            session,
+            request,
+            self._pool,
+            self._wire,
+            self._clock,
+            self._record_notice,
+        )
         if self._drain_schedule is not None:
             runner.finish_by(self._drain_schedule.answers_due_at)
         self._runners.add(runner)
@@ -209,6 +217,9 @@
                 rule_name, (self._clock.monotonic() - started) / ONE_MS
             )
 
+    def _record_notice(self, upstream: Upstream, notice: UpstreamNotice) -> None:
+        self._state.record_notice(upstream, notice, self._clock.monotonic())
+
     def _log_caller_gone(
         self, session: ForwardingSession, request: CallerRequest
     ) -> None:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
@@ -192,6 +192,7 @@
             is_leaving=self._is_leaving,
             load=self._load.update(sent_count, now),
             restarted=self._state.restarts.update(now),
+            leaving=self._state.list_leaving(reports_all=self._fleet.is_relay),
         )
         if changed != own:
             changed = msgspec.structs.replace(changed, sequence=own.sequence + 1)
@@ -223,6 +224,7 @@
             now,
         )
         self._state.apply_restart_reports(self._table.live.values(), now)
+        self._state.apply_leaving_reports(self._table.live.values(), now)
         for shared in self._sources.values():
             shared.update(self._fleet.is_relay, self._fleet.rank, now)
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/ports.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/ports.py
@@ -9,6 +9,7 @@
 
 from celeryferry_core.exceptions import CeleryferryError
 from celeryferry_core.forwarding.models import ForwardingConfiguration, Upstream
+from celeryferry_core.forwarding.notices import UpstreamNotice
 from celeryferry_core.forwarding.outcomes import AttemptOutcome, RequestResult
 from celeryferry_daemon._internal.forwarding.connection import RawResponse
 from celeryferry_daemon._internal.forwarding.messages import (
@@ -179,6 +180,9 @@
     def read_load(self, response: RawResponse) -> int | None:
         """Return how many requests run or wait at the upstream, None if not stated."""
 
+    def read_notice(self, response: RawResponse) -> UpstreamNotice | None:
+        """Return what a response says of its upstream, None if nothing."""
+
     def make_response(self, result: RequestResult) -> CallerResponse:
         """Return the response to the caller."""
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/runner.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/runner.py
@@ -1,6 +1,7 @@
 """Runs forwarding sessions: executes their actions and reports the events to them."""
 
 import asyncio
+from collections.abc import Callable
 from datetime import timedelta
 
 from celeryferry_core.environment import Clock
@@ -15,6 +16,8 @@
     SetTimer,
     TimerFired,
 )
+from celeryferry_core.forwarding.models import Upstream
+from celeryferry_core.forwarding.notices import UpstreamNotice
 from celeryferry_core.forwarding.outcomes import LossReason, Lost, RequestResult
 from celeryferry_core.forwarding.session import ForwardingSession
 from celeryferry_daemon._internal.forwarding.connection import RawResponse
@@ -31,11 +34,14 @@
 
     :param request: request of the caller, sent with every attempt.
     :param wire: encodes requests and decodes responses.
+    :param on_notice: called with what an upstream says of itself in an answer, before
+        the session learns of the answer.
     """
 
     __slots__ = (
         "_clock",
         "_loop",
+        "_on_notice",
         "_pool",
         "_request",
         "_result",
@@ -52,8 +58,10 @@
         pool: UpstreamPool,
         wire: WireFormat,
         clock: Clock,
+        on_notice: Callable[[Upstream, UpstreamNotice], None],
     ) -> None:
         self._session = session
+        self._on_notice = on_notice
         self._request = request
         self._pool = pool
         self._wire = wire
@@ -122,6 +130,8 @@
         request, upstream = self._request, action.upstream
 
         def make_payload(now: timedelta) -> bytes | None:
+            if not self._session.may_send(action.attempt_id, now):
+                return None
             return self._wire.make_payload(request, upstream, action.deadline - now)
 
         outcome = await self._pool.exchange(
@@ -133,6 +143,9 @@
         )
         if not isinstance(outcome, RawResponse):
             return AttemptEnded(action.attempt_id, outcome)
+        notice = self._wire.read_notice(outcome)
+        if notice is not None:
+            self._on_notice(upstream, notice)
         attempt_outcome = self._wire.classify_response(outcome)
         return AttemptEnded(
             action.attempt_id, attempt_outcome, self._wire.read_load(outcome)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
@@ -11,6 +11,7 @@
 from celeryferry_core.forwarding.cold_senders import ColdSenders
 from celeryferry_core.forwarding.hosts import HostInfo
 from celeryferry_core.forwarding.models import ForwardingConfiguration, Upstream
+from celeryferry_core.forwarding.notices import UpstreamNotice, UpstreamNotices
 from celeryferry_core.forwarding.registry import UpstreamRegistry
 from celeryferry_core.forwarding.restarts import RestartObservations, is_new_process
 from celeryferry_core.forwarding.rules import RuleTable, list_services
@@ -47,6 +48,7 @@
     :ivar services: services that these rules name.
     :ivar rejected_count: invalid items so far, each counted once while it stays
         invalid.
+    :ivar invalid_pause_count: answers that stated a pause that can't be read.
     :ivar registry: upstreams listed by the sources.
     :ivar session_context: data shared by all sessions: upstream selection, budgets and
         response times.
@@ -60,6 +62,7 @@
         "_rejected_keys",
         "_reports_seen",
         "configuration",
+        "invalid_pause_count",
         "rejected_count",
         "session_context",
         "registry",
@@ -84,6 +87,7 @@
         self.services: frozenset[str] = frozenset()
         self._rejected_keys: set[str] = set()
         self.rejected_count = 0
+        self.invalid_pause_count = 0
         self.registry = UpstreamRegistry()
         # Reports of other hosts that were applied, by host id.
         self._reports_seen: dict[str, tuple[tuple[str, int], ...]] = {}
@@ -145,6 +149,7 @@
             case UpstreamListed(key, upstream):
                 self._rejected_keys.discard(key)
                 known = self.registry.get(upstream.instance_id)
+                self.notices.record_listed(upstream)
                 if self.registry.put(upstream, now):
                     if is_new_process(upstream, known):
                         self.restarts.forget(upstream.instance_id)
@@ -152,11 +157,11 @@
             case UpstreamUnlisted(key, instance_id):
                 self._rejected_keys.discard(key)
                 if self.registry.remove(instance_id, now, is_confirmed):
-                    self._remove_upstream(instance_id)
+                    self._remove_upstream(instance_id, now)
             case UpstreamRejected(key, instance_id, reason):
                 self._reject(key, reason)
                 if self.registry.remove(instance_id, now, is_confirmed=True):
-                    self._remove_upstream(instance_id)
+                    self._remove_upstream(instance_id, now)
             case ConfigurationPublished(key, configuration):
                 self._rejected_keys.discard(key)
                 self._replace_configuration(configuration)
@@ -172,6 +177,56 @@
         """Upstreams that are absent or have returned cold, as observed."""
         return self.session_context.selector.restarts
 
+    @property
+    def notices(self) -> UpstreamNotices:
+        """Upstreams that have said that they leave or want a pause."""
+        return self.session_context.selector.notices
+
+    def record_notice(
+        self, upstream: Upstream, notice: UpstreamNotice, now: timedelta
+    ) -> None:
+        """Record what an upstream has said of itself in an answer to this host."""
+        instance_id, started_ms = upstream.instance_id, upstream.started_ms
+        if notice.is_leaving and self.notices.record_leaving(
+            instance_id, started_ms, is_own=True
+        ):
+            self._pool.close_idle(instance_id)
+            self._log.write("upstream_leaving", instance_id=instance_id)
+        if self.registry.get(instance_id) is None:
+            self.notices.record_gone(instance_id, now)
+            return
+        pause = notice.pause
+        if pause is not None and self.notices.record_pause(instance_id, pause, now):
+            self._log.write(
+                "upstream_pause",
+                instance_id=instance_id,
+                pause_s=pause.total_seconds(),
+            )
+        if notice.is_invalid:
+            self.invalid_pause_count += 1
+            if self.invalid_pause_count == 1:
+                self._log.write("upstream_pause_invalid", instance_id=instance_id)
+
+    def list_leaving(self, reports_all: bool) -> tuple[tuple[str, int], ...]:
+        """Return the upstreams that leave, to report them to the other hosts.
+
+        :param reports_all: whether to pass on what other hosts have reported.
+        """
+        ready = (each for each in self.registry.list_all() if not each.is_draining)
+        return self.notices.list_reported(ready, reports_all)
+
+    def apply_leaving_reports(self, hosts: Iterable[HostInfo], now: timedelta) -> None:
+        """Apply what upstreams have said to other hosts.
+
+        :param hosts: statements of live hosts.
+        """
+        for host in hosts:
+            for instance_id, started_ms in host.leaving:
+                if self.notices.record_leaving(instance_id, started_ms, is_own=False):
+                    self._pool.close_idle(instance_id)
+                    if self.registry.get(instance_id) is None:
+                        self.notices.record_gone(instance_id, now)
+
     def check_absent_upstreams(self) -> None:
         """Try to connect to the upstreams that refuse connections."""
         for instance_id in self.restarts.list_absent():
@@ -205,6 +260,7 @@
     def _record_reached(self, upstream: Upstream, now: timedelta) -> None:
         cold_time = self._get_cold_time(upstream)
         if self.restarts.record_reached(upstream.instance_id, cold_time, now):
+            self.notices.record_new_process(upstream.instance_id)
             self._log.write(
                 "upstream_returned",
                 instance_id=upstream.instance_id,
@@ -220,8 +276,9 @@
 
         :param now: current monotonic time.
         """
+        self.notices.expire(now)
         for instance_id in self.registry.drop_missing(now):
-            self._remove_upstream(instance_id)
+            self._remove_upstream(instance_id, now)
 
     def _reject(self, key: str, reason: str) -> None:
         """Log an invalid item once, until a valid value replaces it."""
@@ -230,9 +287,9 @@
             self.rejected_count += 1
             self._log.write("item_rejected", key=key, reason=reason)
 
-    def _remove_upstream(self, instance_id: str) -> None:
+    def _remove_upstream(self, instance_id: str, now: timedelta) -> None:
         self._pool.close_idle(instance_id)
-        self.session_context.selector.forget(instance_id)
+        self.session_context.selector.forget(instance_id, now)
         self._log.write("upstream_gone", instance_id=instance_id)
 
     def _replace_domains_out(self, domains_out: frozenset[str]) -> None:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/wire.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/wire.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from celeryferry_core.forwarding.models import Upstream
+from celeryferry_core.forwarding.notices import UpstreamNotice
 from celeryferry_core.forwarding.outcomes import (
     AttemptOutcome,
     Failed,
@@ -36,6 +37,7 @@
 STAMP_HEADER = "x-server-stamp"
 NOT_EXECUTED_HEADER = "x-not-executed"
 LOAD_HEADER = "x-server-load"
+LEAVING_HEADER = "server-leaving"
 PART_STAMPS_HEADER = "X-Part-Stamps"
 MISSING_PARTS_HEADER = "X-Missing-Parts"
 RETRY_AFTER_HEADER = "Retry-After"
@@ -58,6 +60,7 @@
 # Headers of a request that this host replaces by its own.
 _OVERRIDDEN_HEADERS = frozenset({DEADLINE_MS_HEADER, EXPECT_INSTANCE_HEADER})
 _DROPPED_RESPONSE_HEADERS = _CONNECTION_HEADERS | {
+    LEAVING_HEADER,
     LOAD_HEADER,
     NOT_EXECUTED_HEADER,
     "date",
@@ -72,6 +75,8 @@
 _MILLISECOND = timedelta(milliseconds=1)
 # Ten digits are 115 days.
 _DEADLINE_MS = re.compile(r"-?[0-9]{1,10}(?:\.[0-9]{1,10})?")
+# Seconds. Longer numbers and dates are not part of the platform's protocol.
+_RETRY_AFTER_S = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 _LOAD = re.compile(r"\s*([0-9]{1,6})\s*,\s*([0-9]{1,6})\s*(?:,.*)?")
 
 
@@ -164,6 +169,24 @@
     return int(counts[1]) + int(counts[2]) if counts else None
 
 
+def read_notice(response: RawResponse) -> UpstreamNotice | None:
+    """Return what a response says of its upstream, None if nothing.
+
+    A response of another instance at the same address says nothing of the upstream.
+    """
+    if response.status == _OTHER_INSTANCE_STATUS:
+        return None
+    is_leaving = response.get_header(LEAVING_HEADER) == "1"
+    stated = None
+    if response.status == _UNAVAILABLE_STATUS:
+        stated = response.get_header(RETRY_AFTER_HEADER.lower())
+    if stated is None:
+        return UpstreamNotice(is_leaving) if is_leaving else None
+    if _RETRY_AFTER_S.fullmatch(stated) is None:
+        return UpstreamNotice(is_leaving, is_invalid=True)
+    return UpstreamNotice(is_leaving, timedelta(seconds=float(stated)))
+
+
 def make_response(result: RequestResult) -> CallerResponse:
     """Return the response to the caller for the result of its request."""
     match result:
--- a/packages/celeryferry-standins/src/celeryferry_standins/platform/store.py
+++ b/packages/celeryferry-standins/src/celeryferry_standins/platform/store.py
@@ -18,12 +18,14 @@
 
     :ivar revision: revision of the latest change.
     :ivar is_down: whether every call is answered 503.
+    :ivar stale_items: what reads that may be stale return, None for the current items.
     :ivar address: ``ip:port`` once started.
     """
 
     def __init__(self) -> None:
         self.revision = 100
         self.is_down = False
+        self.stale_items: tuple[list[dict[str, Any]], int] | None = None
         self.address = ""
         self._items: dict[str, dict[str, Any]] = {}
         self._events: list[dict[str, Any]] = []
@@ -84,13 +86,19 @@
         if self.is_down:
             return web.Response(status=UNAVAILABLE)
         prefix = request.query.get("path_prefix", "")
-        items = [
-            item for key, item in sorted(self._items.items()) if key.startswith(prefix)
-        ]
+        items, revision = list(self._items.values()), self.revision
+        if self.stale_items is not None and "serializable" in request.query:
+            items, revision = self.stale_items
+        items = [item for item in items if item["key"].startswith(prefix)]
+        items.sort(key=lambda item: item["key"])
         return web.json_response(
-            {"items": items, "truncated": False, "as_of": self.revision}
+            {"items": items, "truncated": False, "as_of": revision}
         )
 
+    def keep_stale(self) -> None:
+        """Let reads that may be stale return the items as they are now."""
+        self.stale_items = (list(self._items.values()), self.revision)
+
     async def _answer_watch(self, request: web.Request) -> web.Response:
         after = int(request.query["after"])
         prefix = request.query.get("path_prefix", "")
--- a/packages/celeryferry-standins/src/celeryferry_standins/platform/upstream.py
+++ b/packages/celeryferry-standins/src/celeryferry_standins/platform/upstream.py
@@ -1,6 +1,7 @@
 """Stand-in for an upstream of the platform."""
 
 import asyncio
+import time
 from collections import Counter
 from datetime import timedelta
 
@@ -18,6 +19,11 @@
     :param work_time: time that a request takes.
     :ivar runs: executions by request id.
     :ivar refused_count: requests that were meant for another instance.
+    :ivar arrivals: request ids with the monotonic time at which each arrived, without
+        those that were meant for another instance.
+    :ivar is_leaving: whether all answers say that it leaves.
+    :ivar pause: pause that it asks for; it turns each request away. None to serve.
+    :ivar started_ms: time of its start as its entry states it.
     :ivar address: ``ip:port`` once started.
     """
 
@@ -34,6 +40,10 @@
         self.work_time = work_time
         self.runs: Counter[str] = Counter()
         self.refused_count = 0
+        self.arrivals: list[tuple[str, float]] = []
+        self.is_leaving = False
+        self.pause: timedelta | None = None
+        self.started_ms = 1
         self.address = ""
         self._runner: web.ServerRunner | None = None
 
@@ -66,6 +76,7 @@
             "lifecycle": lifecycle,
             "warmup_left_ms": 0,
             "seq": 1,
+            "born": self.started_ms,
         }
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -73,7 +84,13 @@
         if request.headers.get("X-Expect-Instance") != self.instance_id:
             self.refused_count += 1
             return web.Response(status=421)
+        self.arrivals.append((request_id, time.monotonic()))
+        notice = {"Server-Leaving": "1"} if self.is_leaving else {}
         await request.read()
+        if self.pause is not None:
+            notice["Retry-After"] = str(self.pause.total_seconds())
+            notice["X-Not-Executed"] = "1"
+            return web.Response(status=503, headers=notice)
         self.runs[request_id] += 1
         await asyncio.sleep(self.work_time.total_seconds())
         record = self.instance_id.encode().rjust(RECORD_BYTES)[:RECORD_BYTES]
@@ -81,5 +98,6 @@
             "X-Request-Id": request_id,
             "X-Server-Stamp": f"{self.instance_id}.{request_id}",
             "X-Server-Load": "1,0,4",
+            **notice,
         }
         return web.Response(body=record, headers=headers)
--- a/tests/core/test_upstream_choice.py
+++ b/tests/core/test_upstream_choice.py
@@ -208,7 +208,7 @@
         selector = harness.context.selector
 
         def script(action, _count):
-            selector.forget(action.upstream.instance_id)
+            selector.forget(action.upstream.instance_id, harness.now)
             return 5.0, succeed(action)
 
         harness.script = script
--- a/tests/daemon/test_platform.py
+++ b/tests/daemon/test_platform.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from celeryferry_core.forwarding.models import Sharded, Weighted
+from celeryferry_core.forwarding.notices import UpstreamNotice
 from celeryferry_core.forwarding.outcomes import (
     Failed,
     LossReason,
@@ -241,6 +242,25 @@
         encoded = respond(200, x_server_stamp="s", content_encoding="gzip")
         self.assertEqual(wire.classify_response(encoded), lost)
 
+    def test_what_an_upstream_says_of_itself_is_read(self):
+        """Guards against missing that an upstream leaves or wants a pause."""
+
+        def read(status, *headers):
+            return wire.read_notice(RawResponse(status, headers, b"", True))
+
+        self.assertIsNone(read(200))
+        leaving = ("server-leaving", "1")
+        for status in (200, 404, 500, 503):
+            self.assertEqual(read(status, leaving), UpstreamNotice(True))
+        self.assertIsNone(read(200, ("server-leaving", "0")))
+        self.assertIsNone(read(421, leaving), "another instance at the address")
+        pause = read(503, ("retry-after", "1.25"), leaving)
+        self.assertEqual(pause, UpstreamNotice(True, timedelta(seconds=1.25)))
+        self.assertIsNone(read(429, ("retry-after", "1")))
+        for odd in ("-1", "inf", "nan", "1e9", "", "9" * 40, "Wed, 21 Oct 2026"):
+            notice = read(503, ("retry-after", odd))
+            self.assertEqual(notice, UpstreamNotice(is_invalid=True), odd)
+
     def test_load_is_read(self):
         """Guards against a failed attempt because of an invalid load header."""
         self.assertEqual(wire.read_load(respond(x_server_load="3,2,8")), 5)
