Count the end of attempts that were cancelled before they started

Cause: a task that is cancelled before it starts never runs its coroutine, which reports the end. Ruled out: the other counts of a session; a test over ten ends, four lengths and five moments of leaving finds only this one. Change: the end of the task reports what the coroutine could not. Before: the test fails in many of its 200 cases, the first with a caller that leaves in pass 0. After: it passes.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/runner.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/runner.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 
 from celeryferry_core.environment import Clock
 from celeryferry_core.forwarding.events import (
@@ -18,7 +19,13 @@
 )
 from celeryferry_core.forwarding.models import Upstream
 from celeryferry_core.forwarding.notices import UpstreamNotice
-from celeryferry_core.forwarding.outcomes import LossReason, Lost, RequestResult
+from celeryferry_core.forwarding.outcomes import (
+    LossReason,
+    Lost,
+    RefusalReason,
+    Refused,
+    RequestResult,
+)
 from celeryferry_core.forwarding.session import ForwardingSession
 from celeryferry_daemon._internal.forwarding.connection import RawResponse
 from celeryferry_daemon._internal.forwarding.messages import CallerRequest
@@ -98,6 +105,7 @@
                 case SendAttempt(attempt_id=attempt_id):
                     task = self._loop.create_task(self._run_attempt(action))
                     self._tasks[attempt_id] = task
+                    task.add_done_callback(partial(self._end_unstarted, attempt_id))
                 case CancelAttempt(attempt_id):
                     task = self._tasks.get(attempt_id)
                     if task is not None:
@@ -118,6 +126,12 @@
         self._timer = None
         self._execute(self._session.handle(TimerFired(), self._clock.monotonic()))
 
+    def _end_unstarted(self, attempt_id: int, _task: asyncio.Task) -> None:
+        """Report an attempt whose task was cancelled before its coroutine started."""
+        if self._tasks.pop(attempt_id, None) is not None:
+            event = AttemptEnded(attempt_id, Refused(RefusalReason.NOT_SENT))
+            self._execute(self._session.handle(event, self._clock.monotonic()))
+
     async def _run_attempt(self, action: SendAttempt) -> None:
         event = AttemptEnded(action.attempt_id, Lost(LossReason.CANCELLED))
         try:
