Survive SIGHUP during the imports of the daemon

Seen in the review: SIGHUP in the first 0.3 s of a start ends the process. Nothing is lost, as it serves nobody yet, but the start has to be repeated. Cause: the handler is installed after the imports. Ruled out: nothing can be done before the interpreter runs the script. Change: the script ignores the signal first; the settings are read after the imports in any case. Before: the new test ends with the process gone. After: it passes.

--- a/deploy/celeryferryd.py
+++ b/deploy/celeryferryd.py
@@ -2,9 +2,14 @@
 
 import gc
 import os
+import signal
 import sys
 from pathlib import Path
 
+# Until the daemon handles it, the signal would end the process. The settings are read
+# after the imports in any case.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [
     str(ROOT / "packages" / f"celeryferry-{name}" / "src")
