Ask the store shortly until it is known to answer

Seen in the review: after a kill of both relays of a domain, its other hosts take the store for lost until the first watch of a new relay returns, up to 0.6 of the contact time later, and keep entries that were removed meanwhile. Cause: a host that has just begun to read waits for changes, and has no reading until then. After an outage, the return showed as late. Ruled out: counting a waiting watch as a reading, as it may wait at a silent store. Change: a watch waits only if the latest call has succeeded; otherwise it returns within 1 ms of the store. One more call for each new reader and each return of the store. Before: the waits of the new test are all long.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
@@ -148,7 +148,10 @@
                 # watch, so only the first read may be stale.
                 result = await self.source.read_all(may_be_stale=not self.has_contents)
             else:
-                result = await self.source.watch(self.revision)
+                # A host that waits without knowing whether the source can be read
+                # would count as one that can't read it.
+                may_wait = self.reads_it is True
+                result = await self.source.watch(self.revision, may_wait)
             match result:
                 case Ok(changes):
                     self._record_recovery()
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/ports.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/ports.py
@@ -141,11 +141,11 @@
         """
 
     async def watch(
-        self, after_revision: int
+        self, after_revision: int, may_wait: bool
     ) -> Result[SourceChanges, SourceUnavailableError | HistoryGoneError]:
-        """Wait for changes after a revision; the result is empty if there are none.
+        """Return changes after a revision; the result is empty if there are none.
 
-        The adapter decides how long to wait.
+        :param may_wait: whether to wait for changes. The adapter decides how long.
         """
 
     def decode(self, item: SourceItem) -> Change | None:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/sources.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/sources.py
@@ -50,10 +50,13 @@
         return await self._client.read_all(ALL_KEYS_PREFIX, may_be_stale)
 
     async def watch(
-        self, after_revision: int
+        self, after_revision: int, may_wait: bool
     ) -> Result[SourceChanges, SourceUnavailableError | HistoryGoneError]:
-        """Wait for changes after a revision; the result is empty if there are none."""
-        return await self._client.watch(ALL_KEYS_PREFIX, after_revision)
+        """Return changes after a revision; the result is empty if there are none.
+
+        :param may_wait: whether to wait for changes.
+        """
+        return await self._client.watch(ALL_KEYS_PREFIX, after_revision, may_wait)
 
     def decode(self, item: SourceItem) -> Change | None:
         """Return the change that an entry or its removal represents.
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/store.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/store.py
@@ -19,6 +19,8 @@
 
 # The store normally answers within 4 ms, and within 240 ms while it is slow.
 READ_TIMEOUT = timedelta(seconds=1)
+# Wait of a watch that is only to show that the store answers.
+SHORT_WAIT = timedelta(milliseconds=1)
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 # Fraction of the contact time for which the store may hold a watch. Shorter watches
 # would cost more, as the platform charges for each one.
@@ -123,22 +125,23 @@
             after = page.items[-1].key
 
     async def watch(
-        self, prefix: str, after_revision: int
+        self, prefix: str, after_revision: int, may_wait: bool = True
     ) -> Result[SourceChanges, SourceUnavailableError | HistoryGoneError]:
-        """Wait for changes under a prefix.
+        """Return changes under a prefix.
 
         :param after_revision: revision up to which changes are known.
+        :param may_wait: whether to wait for changes, at most for ``watch_wait``.
         :returns: the changes (empty if there were none within ``watch_wait``), or why
             the call failed.
         """
+        wait = self.watch_wait if may_wait else SHORT_WAIT
         params = {
             "path_prefix": prefix,
             "after": str(after_revision),
-            "wait_ms": str(self.watch_wait // timedelta(milliseconds=1)),
+            "wait_ms": str(wait // timedelta(milliseconds=1)),
         }
-        result = await self._get(
-            "/kv-watch", params, self.watch_timeout, _WATCH_DECODER
-        )
+        timeout = self.watch_timeout if may_wait else READ_TIMEOUT
+        result = await self._get("/kv-watch", params, timeout, _WATCH_DECODER)
         match result:
             case Err(error):
                 return Err(error)
--- a/tests/daemon/test_forwarding_sources.py
+++ b/tests/daemon/test_forwarding_sources.py
@@ -87,6 +87,7 @@
         self.results = list(results)
         self.calls: list[int | None] = []
         self.stale_reads: list[bool] = []
+        self.waits: list[bool] = []
         self.is_done = asyncio.Event()
 
     async def _next(self, after):
@@ -101,8 +102,9 @@
         self.stale_reads.append(may_be_stale)
         return await self._next(None)
 
-    async def watch(self, after_revision):
+    async def watch(self, after_revision, may_wait):
         """Return the next result."""
+        self.waits.append(may_wait)
         return await self._next(after_revision)
 
     def decode(self, item):
@@ -220,6 +222,27 @@
             self.list_ids(), {"s0-a"}, "the entry may have expired during the outage"
         )
 
+    async def test_reader_waits_only_if_the_source_is_known_to_answer(self):
+        """Guards against taking the source for lost while the first watch waits.
+
+        Pattern: the relays of a domain are killed, and another host starts to read. Its
+        watch may wait for seconds before it says anything.
+        """
+        await self.follow(
+            Ok(SourceChanges((make_entry("s0-a", 3),), 5)),
+            Err(SourceUnavailableError("busy")),
+            Ok(SourceChanges((), 5)),
+        )
+        self.assertEqual(self.source.waits, [True, False, True])
+        self.follower.set_reading(False)
+        self.follower.set_reading(True)
+        self.source.results = [Ok(SourceChanges((), 5))]
+        self.source.is_done.clear()
+        task = asyncio.create_task(self.follower.run())
+        await self.source.is_done.wait()
+        task.cancel()
+        self.assertEqual(self.source.waits[3:], [False, True])
+
     async def test_contents_of_a_peer_are_applied_only_if_newer(self):
         """Guards against returning to an older state."""
         await self.follow(Ok(SourceChanges((make_entry("s0-a", 3),), 5)))
