Ask for bodies that are held back, take many headers, and bound connections by descriptors

Seen in the review, three faults of the listener for callers: Expect: 100-continue got no 100, so a caller that waits for it got 408 at its deadline; more than about 125 headers got 400 within max_header_bytes (aiohttp's limit of 128 lines); 4,096 connections were allowed on machines with 1,535 descriptors, of which upstreams, peers and the store also need some. Change: 100 is sent before the body is read and after the head was checked; the limit on lines follows the limit on bytes; connections of callers may take 0.6 of the descriptors that the platform does not reserve. The three share the listener's few lines and its test module. Before: the three new tests fail to run or fail. After: the module's 18 tests pass. Not tried: a process that does run out of descriptors.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
@@ -110,7 +110,9 @@
             self._log,
             RequestMetrics(self.metrics_registry),
         )
-        self._callers_server = CallersServer(self._callers, self._state)
+        self._callers_server = CallersServer(
+            self._callers, self._state, settings.max_descriptors
+        )
         self._tasks = TaskSet()
         self._servers: list[asyncio.Server] = []
         self._runners: list[web.AppRunner | web.ServerRunner] = []
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/listener.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/listener.py
@@ -16,6 +16,13 @@
 
 # An open connection takes about 10 KB, even if it never sends a request.
 MAX_CONNECTIONS = 4096
+# Descriptors that the platform reserves for files.
+FILE_DESCRIPTORS = 200
+# Fraction of the other descriptors that connections of callers may take. The rest is
+# for connections to upstreams, to other hosts and to the store.
+CALLER_DESCRIPTOR_FRACTION = 0.6
+# A name of one character, a colon and the end of the line.
+MIN_HEADER_LINE_BYTES = 4
 # In force until the first configuration is received.
 DEFAULT_BOUNDS = CallerBounds()
 
@@ -24,9 +31,12 @@
     """Passes requests to the handler, with the limits of the current configuration.
 
     :param state: holds the configuration in force.
+    :param max_descriptors: file descriptors that the process may use.
     """
 
-    def __init__(self, handler: CallersHandler, state: HostState) -> None:
+    def __init__(
+        self, handler: CallersHandler, state: HostState, max_descriptors: int
+    ) -> None:
         super().__init__(
             self._handle,
             request_factory=self._make_bounded_request,
@@ -34,6 +44,7 @@
         )
         self._callers_handler = handler
         self._state = state
+        self._max_connections = compute_max_connections(max_descriptors)
 
     def read_bounds(self) -> CallerBounds:
         """Return the limits on callers in the configuration in force."""
@@ -54,9 +65,10 @@
             "auto_decompress": False,
             "max_line_size": bounds.header_bytes,
             "max_field_size": bounds.header_bytes,
+            "max_headers": bounds.header_bytes // MIN_HEADER_LINE_BYTES,
             "keepalive_timeout": bounds.idle_time.total_seconds(),
         }
-        return ListenerBounds(MAX_CONNECTIONS, bounds.head_time, options, False)
+        return ListenerBounds(self._max_connections, bounds.head_time, options, False)
 
     def count_unanswered(self) -> int:
         """Return how many connections have a request or unsent bytes of a response."""
@@ -90,6 +102,15 @@
             connection.end_request()
 
 
+def compute_max_connections(max_descriptors: int) -> int:
+    """Return how many connections of callers may be open at once.
+
+    :param max_descriptors: file descriptors that the process may use.
+    """
+    usable = max(1, max_descriptors - FILE_DESCRIPTORS)
+    return max(1, min(MAX_CONNECTIONS, int(usable * CALLER_DESCRIPTOR_FRACTION)))
+
+
 async def start_callers_listener(
     server: CallersServer, address: str
 ) -> web.ServerRunner:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/requests.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/requests.py
@@ -9,6 +9,9 @@
 
 from celeryferry_core.forwarding.models import CallerBounds
 
+# Asks a caller for the body that it holds back.
+CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
 
 class Rejection(StrEnum):
     """Why a request was answered with a client error instead of being run."""
@@ -53,6 +56,8 @@
         return Err(Rejection.BODY_TOO_LARGE)
     try:
         async with asyncio.timeout(time_left.total_seconds()):
+            if request.headers.get("Expect", "").lower() == "100-continue":
+                await request.writer.write(CONTINUE_RESPONSE)
             return Ok(await request.read())
     except web.HTTPRequestEntityTooLarge:
         return Err(Rejection.BODY_TOO_LARGE)
--- a/tests/daemon/test_callers_listener.py
+++ b/tests/daemon/test_callers_listener.py
@@ -11,7 +11,9 @@
 
 from celeryferry_core.forwarding.models import CallerBounds, ForwardingConfiguration
 from celeryferry_daemon._internal.forwarding.listener import (
+    MAX_CONNECTIONS,
     CallersServer,
+    compute_max_connections,
     start_callers_listener,
 )
 from celeryferry_daemon._internal.forwarding.requests import (
@@ -28,6 +30,7 @@
     idle_time=timedelta(seconds=3),
 )
 TIME_LEFT = timedelta(seconds=0.4)
+MAX_DESCRIPTORS = 1535
 # Ends a test that hangs.
 TEST_TIMEOUT_S = 10.0
 TEST_TIMEOUT = timedelta(seconds=TEST_TIMEOUT_S)
@@ -55,7 +58,7 @@
     async def asyncSetUp(self):
         configuration = ForwardingConfiguration(1, (), {}, BOUNDS)
         self.state = SimpleNamespace(configuration=configuration)
-        self.server = CallersServer(BodyLengthHandler(), self.state)
+        self.server = CallersServer(BodyLengthHandler(), self.state, MAX_DESCRIPTORS)
         runner = await start_callers_listener(self.server, "127.0.0.1:0")
         self.addAsyncCleanup(runner.cleanup)
         self.ip, self.port = runner.addresses[0]
@@ -106,6 +109,34 @@
         head = b"GET / HTTP/1.1\r\nHost: a\r\n" + lines + b"\r\n"
         self.assertEqual(await self.send(head), 431)
 
+    async def test_many_small_headers_are_within_the_limit(self):
+        """Guards against a limit on the number of headers that nobody configured."""
+        lines = b"".join(b"A%d:\r\n" % n for n in range(150))
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n" + lines + b"\r\n"
+        self.assertEqual(await self.send(head), 200)
+
+    async def test_body_that_is_held_back_is_asked_for(self):
+        """Guards against a caller that waits for 100 until its deadline."""
+        reader, writer = await self.connect()
+        writer.write(
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+            b"Expect: 100-continue\r\n\r\n"
+        )
+        line = await asyncio.wait_for(reader.readline(), TEST_TIMEOUT_S)
+        self.assertEqual(int(line.split()[1]), 100)
+        writer.write(b"xx")
+        await reader.readline()
+        line = await asyncio.wait_for(reader.readline(), TEST_TIMEOUT_S)
+        self.assertEqual(int(line.split()[1]), 200)
+
+    async def test_connections_leave_descriptors_for_upstreams(self):
+        """Guards against callers that take all descriptors of a small machine."""
+        bounds = self.server.read_listener_bounds()
+        self.assertLess(bounds.max_connections, MAX_DESCRIPTORS * 0.6)
+        self.assertGreater(bounds.max_connections, MAX_DESCRIPTORS * 0.4)
+        self.assertEqual(compute_max_connections(1), 1)
+        self.assertEqual(compute_max_connections(100_000), MAX_CONNECTIONS)
+
     async def test_body_that_stops_is_rejected_as_late(self):
         """Guards against waiting forever for a body whose sender stopped."""
         head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nxx"
@@ -208,7 +239,7 @@
             configuration=ForwardingConfiguration(1, (), {}, BOUNDS)
         )
         runner = await start_callers_listener(
-            CallersServer(EchoHandler(), state), "127.0.0.1:0"
+            CallersServer(EchoHandler(), state, MAX_DESCRIPTORS), "127.0.0.1:0"
         )
         self.addAsyncCleanup(runner.cleanup)
         self.address = runner.addresses[0]
