Count a seed as found only after it was live for some seconds

Cause: each counted a seed as found by the report of a relay that had lost it and still kept its reports. Ruled out: a partition longer than the hosts' memory; it lasted 5 s.

--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/fleet.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/fleet.py
@@ -18,6 +18,8 @@
     SendUpdate,
 )
 from celeryferry_core.forwarding.hosts import (
+    SILENCE_LIMITS,
+    VIEW_RETENTION,
     HostInfo,
     HostsUpdate,
     HostTable,
@@ -47,6 +49,10 @@
 NEW_RELAY_TIME = timedelta(seconds=5)
 # Interval between the messages by which a former relay sends its members away.
 REDIRECT_INTERVAL = timedelta(milliseconds=500)
+# Time for which a seed must be live in the table of a host to count as found. Longer
+# than other hosts report one that they have lost: until its silence is noticed, and
+# then for the time for which they keep its reports.
+FINDING_TIME = max(SILENCE_LIMITS.values()) + VIEW_RETENTION + timedelta(seconds=0.5)
 # Time after the start from which a host without any link relays for itself.
 SETTLING_TIME = timedelta(milliseconds=500)
 
@@ -76,6 +82,7 @@
         "_asked_at",
         "_checked_at",
         "_found_seeds",
+        "_seeds_live_since",
         "_links",
         "_opening",
         "_published",
@@ -114,6 +121,7 @@
         }
         self._checked_at = started_at
         self._found_seeds: set[str] = set()
+        self._seeds_live_since: dict[str, timedelta] = {}
         self._asked_at: timedelta | None = None
         self._redirected_at: timedelta | None = None
         self._relay_since: timedelta | None = None
@@ -127,7 +135,14 @@
         """
         seeds = {seed for seed in self.seeds if seed != self.table.own.peers_address}
         live = {host.peers_address for host in self.table.live.values()}
-        self._found_seeds |= seeds & live
+        self._seeds_live_since = {
+            seed: self._seeds_live_since.get(seed, now) for seed in seeds & live
+        }
+        self._found_seeds |= {
+            seed
+            for seed, since in self._seeds_live_since.items()
+            if now - since >= FINDING_TIME
+        }
         is_new = now - self.started_at < HOST_MEMORY
         if is_new and not seeds <= self._found_seeds:
             return False
--- a/tests/core/test_cold_senders.py
+++ b/tests/core/test_cold_senders.py
@@ -107,19 +107,18 @@
         )
 
 
-class TestFleet(unittest.TestCase):
-    """Guards against several senders while the hosts of a fleet lose each other.
+class FleetTestCase(unittest.TestCase):
+    """Counts the senders of a simulated fleet.
 
-    Real decisions on links and entry sets, on simulated fleets: at no time may two
-    hosts send to the same upstream, and in the end exactly one may.
+    :ivar most: most senders that an upstream has had at one time.
     """
 
-    domains = {"a": 5, "b": 5, "c": 5}
-
-    def setUp(self):
-        self.fleet = SimulatedFleet(self.domains)
+    def start(self, fleet: SimulatedFleet) -> None:
+        """Start all hosts of a fleet."""
+        self.fleet = fleet
         self.views: dict[str, HostView] = {}
         self.most = 0
+        fleet.start_all()
 
     def count_senders(self) -> list[int]:
         """Return how many hosts may send to each upstream now."""
@@ -149,6 +148,19 @@
             self.most = max(self.most, *counts)
         return counts
 
+
+class TestFleet(FleetTestCase):
+    """Guards against several senders while the hosts of a fleet lose each other.
+
+    Real decisions on links and entry sets, on simulated fleets: at no time may two
+    hosts send to the same upstream, and in the end exactly one may.
+    """
+
+    domains = {"a": 5, "b": 5, "c": 5}
+
+    def setUp(self):
+        self.start(SimulatedFleet(self.domains))
+
     def check_settled(self) -> None:
         """Check that one host may send to each upstream."""
         self.assertEqual(self.run_for(25 * SECOND), [1] * len(INSTANCES))
@@ -156,12 +168,10 @@
 
     def test_start_of_all_hosts(self):
         """Guards against a sender in each host after a loss of power."""
-        self.fleet.start_all()
         self.check_settled()
 
     def test_kill_of_all_hosts(self):
         """Guards against senders in hosts that restart and know no other."""
-        self.fleet.start_all()
         self.check_settled()
         for host in self.fleet.list_running():
             host.kill()
@@ -170,7 +180,6 @@
 
     def test_restarts_in_turn(self):
         """Guards against a former and a new sender at the same time."""
-        self.fleet.start_all()
         self.check_settled()
         for host in self.fleet.list_running():
             host.leave()
@@ -182,7 +191,6 @@
 
     def test_cut_domain(self):
         """Guards against a sender on each side of a partition."""
-        self.fleet.start_all()
         self.check_settled()
         self.fleet.is_cut = lambda one, other: (
             (one.info.failure_domain == "a") != (other.info.failure_domain == "a")
@@ -193,7 +201,6 @@
 
     def test_all_domains_cut_from_each_other(self):
         """Guards against a sender in each part of a fleet."""
-        self.fleet.start_all()
         self.check_settled()
         self.fleet.is_cut = lambda one, other: (
             one.info.failure_domain != other.info.failure_domain
@@ -207,7 +214,6 @@
 
         Such hosts do not remember the hosts of the other parts.
         """
-        self.fleet.start_all()
         self.check_settled()
         self.fleet.is_cut = lambda one, other: (
             one.info.failure_domain != other.info.failure_domain
@@ -221,7 +227,6 @@
 
     def test_paused_hosts(self):
         """Guards against senders among hosts that resume."""
-        self.fleet.start_all()
         self.check_settled()
         for host in self.fleet.list_running()[::2]:
             host.pause(8 * SECOND)
