Measure pauses that upstreams ask for, beside the code before

A new optional scenario runs two checkouts beside each other under the same burst. Ruled out: two runs one after the other, as the machine is shared.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,7 +11,7 @@
 # Scenarios of a run without arguments, in order; each is a module with ``measure``.
 SCENARIOS = ("tail", "preference", "owners", "cost", "control")
 # Scenarios that run only when named.
-OPTIONAL_SCENARIOS = ("profiling", "versions")
+OPTIONAL_SCENARIOS = ("profiling", "versions", "notices")
 SCENARIO_TIMEOUT_S = 420.0
 
 
--- a/packages/celeryferry-standins/src/celeryferry_standins/platform/fleet.py
+++ b/packages/celeryferry-standins/src/celeryferry_standins/platform/fleet.py
@@ -1,9 +1,10 @@
 """A small fleet on the platform: store, upstreams, and daemons as processes."""
 
 import socket
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from datetime import timedelta
 from pathlib import Path
+from types import MappingProxyType
 
 import msgspec
 
@@ -37,11 +38,17 @@
         }
         self.process: ManagedProcess | None = None
 
-    def start(self, folder: Path, settings: dict[str, object]) -> None:
+    def start(
+        self,
+        folder: Path,
+        settings: dict[str, object],
+        environment: Mapping[str, str] = MappingProxyType({}),
+    ) -> None:
         """Start the process.
 
         :param folder: receives its settings file and its log.
         :param settings: settings that all hosts share.
+        :param environment: further environment variables.
         """
         host_settings = {
             "node_name": self.name,
@@ -55,7 +62,7 @@
             "celeryferry_daemon.platform",
             [],
             folder / f"{self.name}.log",
-            {"CELERYFERRY_BOOT": str(path)},
+            {"CELERYFERRY_BOOT": str(path), **environment},
         )
 
     def close(self) -> None:
@@ -71,10 +78,17 @@
 
     :param folder: receives settings files and logs.
     :param services: services with one upstream in each zone.
+    :param environment: further environment variables of the daemons.
     """
 
-    def __init__(self, folder: Path, services: Iterable[str]) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        services: Iterable[str],
+        environment: Mapping[str, str] = MappingProxyType({}),
+    ) -> None:
         self.folder = folder
+        self._environment = environment
         self.store = PlatformStore()
         self.upstreams = [
             PlatformUpstream(f"i-{service}-{zone}", service, zone)
@@ -103,7 +117,7 @@
             await upstream.start()
             await self.register(upstream)
         for host in self.hosts:
-            host.start(self.folder, self.settings)
+            host.start(self.folder, self.settings, self._environment)
 
     async def stop(self) -> None:
         """Kill the daemons and stop the upstreams and the store."""
