Wait for as long as hosts can differ before sending to cold upstreams

Cause: one had noticed the silence of the paused hosts and after their return counted them as not settled, so callers used it in its own view; the other had never lost them. They differed for 7 s, and a host waited only 5 s.

--- a/packages/celeryferry-cli/src/celeryferry_cli/_internal/commands/explain_log.py
+++ b/packages/celeryferry-cli/src/celeryferry_cli/_internal/commands/explain_log.py
@@ -22,6 +22,7 @@
     "not_run_no_configuration": "not run: this host had no configuration yet",
     "not_run_caller_gone": "not run any further: the caller closed its connection",
     "not_run_overloaded": "not run: this host had too many requests of that rule",
+    "not_run_stopping": "not run: this host stops before it could have answered",
     "not_run_deadline": "not run: the caller's time was up when it arrived",
     "rejected_no_rule": "404: no rule of that version matches the host name and path",
     "rejected_head_too_large": "431: the head exceeds the configured limit",
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/cold_senders.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/cold_senders.py
@@ -9,12 +9,20 @@
 from collections.abc import Collection
 from datetime import timedelta
 
+from celeryferry_core.forwarding.entry_sets import SETTLING_TIME
+from celeryferry_core.forwarding.hosts import SILENCE_LIMITS, VIEW_RETENTION
 from celeryferry_core.rendezvous import rank_hosts
 
-# Time for which a host must have been in contact with the fleet, without a pause,
-# before it sends to cold upstreams. Within it, hosts that start together find each
-# other, and a host whose place it takes learns of it or loses its own contact.
-JOINING_TIME = timedelta(seconds=5)
+# Time for which a host must have been in contact with the fleet and used by callers,
+# without a pause, before it sends to cold upstreams. Longer than two hosts can differ
+# on whom callers use: one may already have noticed the silence of a host that the other
+# still reports as live, and after its return count it as not settled.
+JOINING_TIME = (
+    max(SILENCE_LIMITS.values())
+    + VIEW_RETENTION
+    + SETTLING_TIME
+    + timedelta(seconds=0.5)
+)
 # A lost host is considered for this time. It may be alive and only unreachable, so no
 # other host takes its place.
 HOST_MEMORY = timedelta(seconds=60)
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/fleet.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/fleet.py
@@ -359,7 +359,7 @@
         domains = {host.failure_domain for host in candidates} - {own_domain}
         wanted = {
             host.host_id: host
-            for domain in domains
+            for domain in sorted(domains)
             for host in rank_relays(candidates, domain, RELAY_COUNT)
         }
         self._wanted_since = {
