Test cold returns with real processes

Cause: the regression tests of the two faults with cold upstreams used classes that the code before did not have, so they could not fail on it. Change: a module with real daemons and the project's stand-ins, which can restart an upstream at its address.

--- a/packages/celeryferry-standins/src/celeryferry_standins/platform/upstream.py
+++ b/packages/celeryferry-standins/src/celeryferry_standins/platform/upstream.py
@@ -24,6 +24,7 @@
     :ivar is_leaving: whether all answers say that it leaves.
     :ivar pause: pause that it asks for; it turns each request away. None to serve.
     :ivar started_ms: time of its start as its entry states it.
+    :ivar cold_time: time for which its entry says that it is cold.
     :ivar address: ``ip:port`` once started.
     """
 
@@ -44,15 +45,17 @@
         self.is_leaving = False
         self.pause: timedelta | None = None
         self.started_ms = 1
+        self.cold_time = timedelta(0)
         self.address = ""
         self._runner: web.ServerRunner | None = None
 
     async def start(self) -> None:
-        """Listen on a loopback address."""
+        """Listen on a loopback address, after a stop at the same one again."""
         server = web.Server(self._handle, handler_cancellation=True)
         self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self._runner.setup()
-        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        port = int(self.address.rpartition(":")[2] or 0)
+        await web.TCPSite(self._runner, "127.0.0.1", port).start()
         ip, port = self._runner.addresses[0][:2]
         self.address = f"{ip}:{port}"
 
@@ -74,7 +77,7 @@
             "version": "v1",
             "capacity": 4,
             "lifecycle": lifecycle,
-            "warmup_left_ms": 0,
+            "warmup_left_ms": self.cold_time // timedelta(milliseconds=1),
             "seq": 1,
             "born": self.started_ms,
         }
