--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,10 @@
 BENCH_STAMP := $(VENV)/.installed-bench
 PACKAGES := $(foreach name,core daemon cli standins,-e packages/celeryferry-$(name))
 
-.PHONY: demo playground test proofs lint format bench pictures golden samples clean
+# Seeds of the soak: a number, or the first and the last.
+SEEDS ?= 50
+
+.PHONY: demo playground test proofs soak lint format bench pictures golden samples clean
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	python3 -m venv $(VENV)
@@ -29,6 +32,10 @@
 proofs: $(STAMP)
 	$(BIN)/python -m tests.run tests.proofs
 
+# Real processes under random faults, for half a minute a seed: make soak SEEDS=0-9.
+soak: $(STAMP)
+	$(BIN)/python -m tests.soak $(SEEDS)
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/packages/celeryferry-standins/src/celeryferry_standins/processes.py
+++ b/packages/celeryferry-standins/src/celeryferry_standins/processes.py
@@ -123,6 +123,10 @@
         """Send SIGTERM."""
         self._signal(signal.SIGTERM)
 
+    def reload(self) -> None:
+        """Send SIGHUP."""
+        self._signal(signal.SIGHUP)
+
     def kill(self) -> None:
         """Send SIGKILL and wait until the process has ended."""
         self._signal(signal.SIGKILL)
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Soak of the forwarding daemon: real processes, random faults, and a judge."""
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,112 @@
+"""Callers of the soak, which keep their connections as long as they work."""
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass
+
+from celeryferry_core.addresses import split_address
+from celeryferry_standins.platform.fleet import PlatformHost
+
+DEADLINE_MS = 1500
+MAX_GAP_S = 0.15
+# A caller uses a connection for many requests, and then opens another one elsewhere.
+MAX_REQUESTS_PER_CONNECTION = 40
+
+
+@dataclass(slots=True)
+class Exchange:
+    """One request and what its caller saw.
+
+    Times are monotonic, in seconds.
+
+    :ivar status: status of the complete answer, None without one.
+    :ivar is_given_up: whether the caller closed the connection at its deadline.
+    """
+
+    request_id: str
+    host: PlatformHost
+    is_order: bool
+    sent_at: float
+    ended_at: float = 0.0
+    status: int | None = None
+    body: bytes = b""
+    answered_id: str = ""
+    is_given_up: bool = False
+
+
+class Caller:
+    """Sends requests one after the other until it is cancelled.
+
+    :param name: part of its request ids.
+    :ivar exchanges: all requests that were sent.
+    """
+
+    def __init__(
+        self, name: str, hosts: list[PlatformHost], random_source: random.Random
+    ) -> None:
+        self._name = name
+        self._hosts = hosts
+        self._random = random_source
+        self.exchanges: list[Exchange] = []
+
+    async def run(self) -> None:
+        """Use one host after the other."""
+        while True:
+            host = self._random.choice(self._hosts)
+            try:
+                address = split_address(host.addresses["http"])
+                reader, writer = await asyncio.open_connection(*address)
+            except OSError:
+                await asyncio.sleep(MAX_GAP_S)
+                continue
+            try:
+                for _ in range(MAX_REQUESTS_PER_CONNECTION):
+                    if not await self._exchange(host, reader, writer):
+                        break
+                    await asyncio.sleep(self._random.uniform(0, MAX_GAP_S))
+            finally:
+                writer.transport.abort()
+
+    async def _exchange(
+        self,
+        host: PlatformHost,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Send one request; returns whether the connection can be used again."""
+        is_order = self._random.random() < 0.5
+        request_id = f"{host.name}/{self._name}-{len(self.exchanges)}"
+        path, method = ("/order/1", "POST") if is_order else ("/lookup/1", "GET")
+        exchange = Exchange(request_id, host, is_order, time.monotonic())
+        self.exchanges.append(exchange)
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: a.example\r\n"
+            f"X-Request-Id: {request_id}\r\nX-Deadline-Ms: {DEADLINE_MS}\r\n"
+            "Content-Length: 0\r\n\r\n"
+        )
+        is_open = False
+        try:
+            async with asyncio.timeout(DEADLINE_MS / 1000):
+                writer.write(head.encode())
+                is_open = await _read_response(reader, exchange)
+        except TimeoutError:
+            exchange.is_given_up = True
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        exchange.ended_at = time.monotonic()
+        return is_open
+
+
+async def _read_response(reader: asyncio.StreamReader, exchange: Exchange) -> bool:
+    """Read a response; returns whether the connection stays open."""
+    text = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    lines = text.split("\r\n")
+    headers = {
+        name.lower(): value.strip()
+        for name, _, value in (line.partition(":") for line in lines[1:])
+    }
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    exchange.status, exchange.body = int(lines[0].split()[1]), body
+    exchange.answered_id = headers.get("x-server-stamp", "").partition(".")[2]
+    return headers.get("connection", "").lower() != "close"
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,122 @@
+"""One run of the soak."""
+
+import asyncio
+import random
+import tempfile
+from collections import Counter
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+
+from celeryferry_standins.platform.fleet import PlatformFleet
+from tests.soak.callers import DEADLINE_MS, Caller
+from tests.soak.faults import Faults
+from tests.soak.judge import find_violations
+
+SERVICES = ("s0", "s1", "orders")
+CALLER_COUNT = 12
+WORK_TIME = timedelta(milliseconds=40)
+START_TIME_S = 4.0
+# Time after the last fault in which all hosts must serve again.
+RECOVERY_TIME_S = 4.0
+ROUTES = (
+    {
+        "name": "lookup",
+        "path_prefix": "/lookup/",
+        "type": "idempotent",
+        "gather": ["s0", "s1"],
+        "top_k": 3,
+        "min_shard_ratio": 0.5,
+    },
+    {
+        "name": "order",
+        "path_prefix": "/order/",
+        "type": "non_idempotent",
+        "backend": "orders",
+    },
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """What a run has shown.
+
+    :param statuses: number of requests by status, None for those without an answer.
+    """
+
+    seed: int
+    statuses: Counter
+    violations: list[str]
+    faults: list[str]
+
+    def to_text(self) -> str:
+        """Return the counts as one line."""
+        counts = sorted(self.statuses.items(), key=lambda pair: pair[0] or 0)
+        answered = ", ".join(f"{status}: {count}" for status, count in counts)
+        return (
+            f"seed {self.seed}: {len(self.faults)} faults, {answered}, "
+            f"{len(self.violations)} violations"
+        )
+
+
+def make_configuration(version: int) -> dict:
+    """Return a version of the configuration; all of them have the same routes."""
+    common = {
+        "host": "a.example",
+        "timeout_ms": DEADLINE_MS,
+        "target_latency_ms": 200 + version,
+        "attempts": 2,
+    }
+    routes = [common | route for route in ROUTES]
+    backends = [
+        {"name": name, "max_conns": 80, "warmup_s": 1.0, "warmup_per_s": 50.0}
+        for name in SERVICES
+    ]
+    return {"version": version, "routes": routes, "backends": backends}
+
+
+async def run_soak(seed: int, length: timedelta) -> Report:
+    """Play the faults of a seed against a fleet.
+
+    :param length: time in which faults begin.
+    """
+    source = random.Random(seed)
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = PlatformFleet(Path(folder), SERVICES)
+        for upstream in fleet.upstreams:
+            upstream.work_time = WORK_TIME
+        callers = [
+            Caller(str(number), fleet.hosts, random.Random(f"{seed}-{number}"))
+            for number in range(CALLER_COUNT)
+        ]
+        tasks: list[asyncio.Task] = []
+        try:
+            await fleet.start(make_configuration(1))
+            await asyncio.sleep(START_TIME_S)
+            faults = Faults(fleet, source, make_configuration)
+            tasks = [asyncio.create_task(caller.run()) for caller in callers]
+            await faults.run(length)
+            violations = await check_recovery(callers, fleet)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await fleet.stop()
+    exchanges = [each for caller in callers for each in caller.exchanges]
+    violations += find_violations(exchanges, fleet.upstreams, faults)
+    statuses = Counter(each.status for each in exchanges if each.ended_at)
+    return Report(seed, statuses, violations, faults.log)
+
+
+async def check_recovery(callers: list[Caller], fleet: PlatformFleet) -> list[str]:
+    """Return a violation for each host that does not serve after the faults."""
+    await asyncio.sleep(RECOVERY_TIME_S)
+    counts = [len(caller.exchanges) for caller in callers]
+    await asyncio.sleep(RECOVERY_TIME_S)
+    served = {
+        exchange.host.name
+        for caller, count in zip(callers, counts, strict=True)
+        for exchange in caller.exchanges[count:]
+        if exchange.status == 200
+    }
+    return [f"RECOVER {h.name}" for h in fleet.hosts if h.name not in served]
