Send only the changes of a new listing to peers with the same contents

Change: the changes are marked as complete only for a host with the very revision that they start from; any other one asks and gets the whole contents. Before: the whole contents for each member.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
@@ -29,7 +29,7 @@
 # revision. A peer that is further behind gets the whole contents.
 MAX_REMEMBERED_REMOVALS = 4096
 
-ChangesListener = Callable[[int, SourceChanges], None]
+ChangesListener = Callable[[int, SourceChanges, bool], None]
 
 
 class SourceFollower:
@@ -37,8 +37,8 @@
 
     :param log: receives a line when the source becomes unavailable or available again.
     :ivar on_changed: called each time the contents have changed, with the previous
-        revision and the changes, or with 0 and the whole contents if items may have
-        been added and removed that this host has not seen.
+        revision, the changes, and whether these are complete only for a host with that
+        very revision, as items may have been added and removed since unseen.
     :ivar revision: revision up to which all changes are known, 0 if nothing was read.
     :ivar failed_item_count: items whose handling failed unexpectedly.
     :ivar reads_it: whether the latest call of this host has succeeded, None if it does
@@ -87,7 +87,7 @@
         self._failures = 0
         self._is_reading = asyncio.Event()
         self._peers_read_it: bool | None = None
-        self.on_changed: ChangesListener = lambda previous_revision, changes: None
+        self.on_changed: ChangesListener = lambda previous, changes, is_exact: None
         self.reads_it: bool | None = None
         self.is_unavailable = False
         self.failed_item_count = 0
@@ -232,7 +232,7 @@
         if changes.revision > previous_revision:
             self._set_revision(changes.revision)
             changed = SourceChanges(tuple(newer), changes.revision)
-            self.on_changed(previous_revision, changed)
+            self.on_changed(previous_revision, changed, False)
 
     def _replace_items(self, listing: SourceChanges, is_confirmed: bool) -> None:
         now = self._clock.monotonic()
@@ -245,20 +245,19 @@
         ]
         for item in removed:
             self._apply_item(item, now, is_confirmed)
-        has_changed = bool(removed)
+        changed = removed
         for item in listing.items:
             known = self._items.get(item.key)
             if known is None or known.revision < item.revision:
                 self._apply_item(item, now)
-                has_changed = True
+                changed.append(item)
         # Items that were added and removed since the previous revision are in neither.
         self._removals_known_after = max(self._removals_known_after, listing.revision)
         self._can_watch = True
         self._set_revision(max(self.revision, listing.revision))
-        if has_changed or self.revision > previous_revision:
-            # A peer may have one of those items, so it needs the whole contents.
-            contents = SourceChanges(tuple(self._items.values()), self.revision)
-            self.on_changed(0, contents)
+        if changed or self.revision > previous_revision:
+            changes = SourceChanges(tuple(changed), self.revision)
+            self.on_changed(previous_revision, changes, previous_revision > 0)
 
     def _set_revision(self, revision: int) -> None:
         self.revision = revision
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/link_messages.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/link_messages.py
@@ -50,6 +50,8 @@
     :param revision: revision that the receiver has afterwards.
     :param is_confirmed: False while the sender can't read the source, and for some time
         after that. A missing item may then have expired instead of being deleted.
+    :param is_exact: whether the changes are complete only for a receiver with exactly
+        the revision ``after``, and not with a later one.
     """
 
     source: str
@@ -57,6 +59,7 @@
     revision: Revision
     items: tuple[SourceItem, ...]
     is_confirmed: bool
+    is_exact: bool = False
 
 
 class ContentsRequest(msgspec.Struct, frozen=True, gc=False, tag="request"):
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
@@ -255,14 +255,19 @@
         return Tick({name: each.make_status() for name, each in self._sources.items()})
 
     def _push_changes(
-        self, shared: SharedSource, previous_revision: int, changes: SourceChanges
+        self,
+        shared: SharedSource,
+        previous_revision: int,
+        changes: SourceChanges,
+        is_exact: bool,
     ) -> None:
         if previous_revision == 0:
             # With its first contents, this host becomes ready.
             self._schedule_settling()
         members = self._fleet.list_links(LinkRole.FROM_MEMBER)
         if members:
-            self._send(members, shared.make_update(previous_revision, changes))
+            update = shared.make_update(previous_revision, changes, is_exact)
+            self._send(members, update)
 
     async def _open_link(self, host: HostInfo, role: LinkRole) -> None:
         opened: OpenedLink | None = None
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
@@ -94,19 +94,28 @@
         """
         changes = SourceChanges(update.items, update.revision)
         self._heard_revision = max(self._heard_revision, update.revision)
+        own_revision = self.follower.revision
+        if update.is_exact and update.after < own_revision < update.revision:
+            return ContentsRequest(update.source, own_revision)
         if self.follower.apply_peer_changes(update.after, changes, update.is_confirmed):
             self._requested_at = None
             return None
         return ContentsRequest(update.source, self.follower.revision)
 
-    def make_update(self, after: int, changes: SourceChanges) -> ContentsUpdate:
-        """Return changes as a message for peers."""
+    def make_update(
+        self, after: int, changes: SourceChanges, is_exact: bool = False
+    ) -> ContentsUpdate:
+        """Return changes as a message for peers.
+
+        :param is_exact: whether they are complete only for hosts with that revision.
+        """
         return ContentsUpdate(
             self.follower.source.name,
             after,
             changes.revision,
             changes.items,
             self.follower.is_confirmed,
+            is_exact,
         )
 
     def answer(self, request: ContentsRequest) -> ContentsUpdate:
