--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,6 +1,6 @@
-"""A replica becomes cold again just after another entry of the store has changed.
+"""All replicas of a service go dark while the store is down, and return cold.
 
-Breaks FAILBACK if the machines go on sending to it as to a warm one.
+Breaks FAILBACK if the machines send to the new processes as to warm ones.
 """
 
 import asyncio
@@ -22,54 +22,63 @@
 )
 
 ZONES = ("agadir-a", "taroudant-b", "tiznit-c")
-SERVICE = "survey-desk"
+SERVICE = "foundry"
 PATH = "/plaque/"
 DEADLINE_MS = 1000
-# SYSTEM.md: 67.4 and 22.5 requests a second to each shard, which has three replicas.
-REQUESTS_PER_REPLICA_S = 30
-CLIENTS_PER_MACHINE = 2
-WARMUP_PER_S = 0.0
+INTERVAL_S = 0.06
+CLIENTS_PER_MACHINE = 6
+WARMUP_PER_S = 10.0
 COLD_S = 3.0
-CHANGE_LEAD_S = 0.05
-REPEAT_COUNT = 5
+# The store is silent for this time. The replicas go dark in its first second.
+STORE_DOWN_S = 4.5
+DARK_AFTER_S = 0.2
+DARK_S = 1.0
 BOUND_PER_S = (
     WARMUP_PER_S * PARAMETERS["warmup_excess"] + PARAMETERS["warmup_tolerance"]
 )
 
 
 async def play(deployment: Deployment) -> list[str]:
-    """Change an entry, make a replica cold, and count the requests that it gets."""
+    """Silence the store and a replica, which returns as a new, cold process."""
+    record = deployment.record
     for zone in ZONES:
         deployment.machines.append(Machine(f"edge-{zone}-1", zone))
-        deployment.replicas.append(Replica(f"i-{zone}-1", SERVICE, zone, 0.02))
-    released = Replica("i-released", "commune-registry", ZONES[0], 0.02)
-    deployment.replicas.append(released)
-    configuration = make_configuration(SERVICE, PATH, "idempotent", WARMUP_PER_S)
+        deployment.replicas.append(Replica(f"i-{zone}-1", SERVICE, zone, 0.05))
+    configuration = make_configuration(SERVICE, PATH, "non_idempotent", WARMUP_PER_S)
     await deployment.start(configuration)
     # After this time one machine is certain that it may send to a cold replica.
     await asyncio.sleep(12)
     for number in range(CLIENTS_PER_MACHINE * len(ZONES)):
         machine = deployment.machines[number % len(ZONES)]
         client = Client(f"c{number}", machine, f"{PATH}{machine.name}")
-        interval_s = CLIENTS_PER_MACHINE / REQUESTS_PER_REPLICA_S
-        deployment.spawn(client.run(interval_s, DEADLINE_MS))
-        await asyncio.sleep(interval_s / CLIENTS_PER_MACHINE / len(ZONES))
+        deployment.spawn(client.run(INTERVAL_S, DEADLINE_MS))
     await asyncio.sleep(3)
-    breaks = []
-    for number in range(REPEAT_COUNT):
-        replica = deployment.replicas[number % len(ZONES)]
-        if deployment.has_trouble:
-            await deployment.store.put(released.key, released.make_entry())
-            deployment.record.note(f"{released.instance_id}: entry written")
-        await asyncio.sleep(CHANGE_LEAD_S)
-        cold_from = time.monotonic()
-        replica.become_cold(COLD_S)
-        await deployment.store.put(replica.key, replica.make_entry())
-        deployment.record.note(f"{replica.instance_id} is cold, as its entry says")
-        await asyncio.sleep(COLD_S)
-        breaks += find_excess(deployment, replica, cold_from, time.monotonic())
-        await asyncio.sleep(2)
-    return breaks
+    if deployment.has_trouble:
+        deployment.store.set_silent(True)
+        record.note("the store gives no answers")
+    down_at = time.monotonic()
+    await asyncio.sleep(DARK_AFTER_S)
+    for replica in deployment.replicas:
+        replica.go_dark()
+    record.note("the replicas are dark")
+    await asyncio.sleep(DARK_S)
+    cold_from = time.monotonic()
+    for replica in deployment.replicas:
+        replica.return_anew(COLD_S)
+    record.note("they are back as new processes, and cold")
+    if not deployment.has_trouble:
+        for replica in deployment.replicas:
+            await deployment.store.put(replica.key, replica.make_entry())
+        record.note("their entries say so")
+    await asyncio.sleep(COLD_S)
+    cold_until = time.monotonic()
+    await asyncio.sleep(max(0.0, down_at + STORE_DOWN_S - cold_until))
+    deployment.store.set_silent(False)
+    return [
+        text
+        for replica in deployment.replicas
+        for text in find_excess(deployment, replica, cold_from, cold_until)
+    ]
 
 
 def find_excess(
@@ -83,15 +92,14 @@
         if start + 1 <= cold_until
     ]
     highest = max(counts, default=0)
-    after_ms = [round((at - cold_from) * 1000) for at in times]
     deployment.record.note(
-        f"{replica.instance_id}: {highest} requests in the fullest second, bound "
-        f"{BOUND_PER_S:.0f}; they came at {after_ms} ms"
+        f"{replica.instance_id}: {len(times)} requests while cold, {highest} in the "
+        f"fullest second, bound {BOUND_PER_S:.0f}; {replica.health_count} health checks"
     )
     if highest <= BOUND_PER_S:
         return []
-    return [f"{replica.instance_id}: {highest} requests in a second while cold"]
+    return [f"{replica.instance_id}: {highest} in a second, bound {BOUND_PER_S:.0f}"]
 
 
 if __name__ == "__main__":
-    run_case(play, FOLDER, 100)
+    run_case(play, FOLDER, 60)
--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -127,6 +127,8 @@
     def __init__(self, answer: Callable[[Message], Awaitable[bytes | None]]) -> None:
         self._answer = answer
         self._server: asyncio.Server | None = None
+        self._is_lit = asyncio.Event()
+        self._is_lit.set()
         self._writers: set[asyncio.StreamWriter] = set()
         self.address = ""
 
@@ -136,6 +138,16 @@
         ip, port = self._server.sockets[0].getsockname()
         self.address = f"{ip}:{port}"
 
+    def go_dark(self) -> None:
+        """Read and answer nothing any more, without closing a connection."""
+        self._is_lit.clear()
+
+    def return_anew(self) -> None:
+        """Answer again, as a new process that knows no earlier connection."""
+        self._is_lit.set()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     def stop(self) -> None:
         """Stop listening and reset all connections."""
         if self._server is not None:
@@ -149,8 +161,10 @@
         self._writers.add(writer)
         try:
             while (request := await read_message(reader)) is not None:
+                if not await self._wait_until_lit():
+                    break
                 response = await self._answer(request)
-                if response is None:
+                if response is None or not await self._wait_until_lit():
                     break
                 writer.write(response)
                 await writer.drain()
@@ -160,6 +174,13 @@
             self._writers.discard(writer)
             writer.transport.abort()
 
+    async def _wait_until_lit(self) -> bool:
+        """Return whether the server is not dark; if it is, wait until it is not."""
+        if self._is_lit.is_set():
+            return True
+        await self._is_lit.wait()
+        return False
+
 
 class Store:
     """The platform's store: items with revisions, range reads and watches."""
@@ -309,6 +330,16 @@
         self._cold_from = time.monotonic()
         self._cold_until = self._cold_from + cold_s
 
+    def go_dark(self) -> None:
+        """Let its machine go dark."""
+        self._server.go_dark()
+
+    def return_anew(self, cold_s: float) -> None:
+        """Start a new process under the same id and address, which is cold."""
+        self.born_ms = int(time.time() * 1000)
+        self.become_cold(cold_s)
+        self._server.return_anew()
+
     def compute_warmup_left_ms(self) -> int:
         """Return for how many milliseconds it is still cold."""
         return max(0, int((self._cold_until - time.monotonic()) * 1000))
