Read nothing from callers once a stopping host has decided to exit

Cause: a host that was idle for 250 ms decided to exit, and read from its callers and passed on what it read until its handlers were cancelled. A request also counted only from the start of its handler, so the decision could fall between its reading and its start.

Change: the exit has two steps. When the host is idle, or at 0.92 of the stop time, all connections without a request are closed in the same step of the event loop, with what they hold unread; the process exits when what was read is answered. A request counts from the first byte of its head. A body that is sent slowly gets 408 when all results are due. The listeners for entry hosts and readiness end in order as well.

read_bounded_body takes the time limit as an object, because a stop shortens it; its two callers in the tests pass one with the same time. find_exit_time of test_draining asks for both steps; its expectations are the same.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
@@ -44,6 +44,8 @@
 HOUSEKEEPING_INTERVAL = timedelta(milliseconds=250)
 SETTINGS_RELOAD_INTERVAL = timedelta(seconds=2)
 LISTEN_BACKLOG = 512
+# Handlers for entry hosts and readiness do not wait, so they end much sooner.
+HANDLER_TIMEOUT = timedelta(milliseconds=100)
 # Limit on the request bodies of the listener for peers, which are questions to seeds.
 # It does not apply to messages on links.
 MAX_PEER_BODY_BYTES = 65_536
@@ -116,6 +118,8 @@
         self._tasks = TaskSet()
         self._servers: list[asyncio.Server] = []
         self._runners: list[web.AppRunner | web.ServerRunner] = []
+        # Listeners whose requests are answered at once.
+        self._short_runners: list[web.AppRunner] = []
         self._stop_requested = asyncio.Event()
 
     async def run(self) -> None:
@@ -163,12 +167,15 @@
             self._callers_server, settings.callers_address
         )
         self._runners.append(callers_runner)
-        await self._start_runner(
-            web.AppRunner(entry_hosts, access_log=None), settings.entry_hosts_address
-        )
-        await self._start_runner(
-            web.AppRunner(readiness, access_log=None), settings.readiness_address
-        )
+        for app, address in (
+            (entry_hosts, settings.entry_hosts_address),
+            (readiness, settings.readiness_address),
+        ):
+            runner = web.AppRunner(
+                app, access_log=None, shutdown_timeout=HANDLER_TIMEOUT.total_seconds()
+            )
+            await self._start_runner(runner, address)
+            self._short_runners.append(runner)
 
     async def _start_runner(
         self, runner: web.AppRunner | web.ServerRunner, address: str
@@ -229,18 +236,27 @@
         for runner in self._runners:
             for site in list(runner.sites):
                 await site.stop()
-        # Polled, because the latest time to exit depends on the clock and not only on
-        # the running requests.
-        while True:
-            now = self._clock.monotonic()
-            if schedule.may_exit(self._callers_server.count_unanswered(), now):
-                break
-            await asyncio.sleep(DRAIN_POLL_INTERVAL.total_seconds())
+        await self._wait_until(schedule.may_end_reading)
+        self._callers_server.end_reading()
+        for runner in self._short_runners:
+            await runner.cleanup()
+        await self._wait_until(schedule.may_exit)
         self._log.write("stopped", running_count=self._callers.running_count)
         self._log.flush()
         await self._tasks.stop()
         self._pool.close()
 
+    async def _wait_until(self, condition: Callable[[int, timedelta], bool]) -> None:
+        """Wait for a condition on the number of unanswered requests and the time.
+
+        No request is read between its last evaluation and the return.
+        """
+        while True:
+            unanswered_count = self._callers_server.count_unanswered()
+            if condition(unanswered_count, self._clock.monotonic()):
+                return
+            await asyncio.sleep(DRAIN_POLL_INTERVAL.total_seconds())
+
 
 def _make_response(caller_response: CallerResponse) -> web.Response:
     return web.Response(
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/callers.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/callers.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 from multidict import CIMultiDict
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from celeryferry_core.admission import Admission
 from celeryferry_core.environment import Clock, RandomSource
@@ -61,6 +61,7 @@
 
     __slots__ = (
         "_admission",
+        "_body_timeouts",
         "_clock",
         "_drain_schedule",
         "_log",
@@ -93,17 +94,24 @@
         self._admission = Admission(MAX_RUNNING_REQUESTS)
         self._drain_schedule: DrainSchedule | None = None
         self._runners: set[SessionRunner] = set()
+        self._body_timeouts: set[asyncio.Timeout] = set()
         self.running_count = 0
 
     def begin_drain(self, schedule: DrainSchedule) -> None:
         """Prepare for the end of the process.
 
         From now on, each connection is closed after its next response, requests that
-        can't be answered in time are refused, and the running ones end in time.
+        can't be answered in time are refused, and the running ones end in time, also
+        those whose body is still arriving.
         """
         self._drain_schedule = schedule
         for runner in self._runners:
             runner.finish_by(schedule.answers_due_at)
+        left = (schedule.answers_due_at - self._clock.monotonic()).total_seconds()
+        latest = asyncio.get_running_loop().time() + left
+        for timeout in self._body_timeouts:
+            if not timeout.expired():
+                timeout.reschedule(min(latest, timeout.when()))
 
     async def handle(
         self, request: web.BaseRequest, bounds: CallerBounds
@@ -139,7 +147,7 @@
         time_left = self._wire.read_time_left(headers)
         if time_left is None:
             time_left = DEFAULT_REQUEST_TIMEOUT
-        match await read_bounded_body(request, bounds, time_left):
+        match await self._read_body(request, bounds, time_left):
             case Err(rejection):
                 return self._reject(request, request_id, rejection)
             case Ok(body):
@@ -160,6 +168,19 @@
         )
         return self._respond(self._wire.make_response(result))
 
+    async def _read_body(
+        self, request: web.BaseRequest, bounds: CallerBounds, time_left: timedelta
+    ) -> Result[bytes, Rejection]:
+        if self._drain_schedule is not None:
+            due_in = self._drain_schedule.answers_due_at - self._clock.monotonic()
+            time_left = max(timedelta(0), min(time_left, due_in))
+        timeout = asyncio.timeout(time_left.total_seconds())
+        self._body_timeouts.add(timeout)
+        try:
+            return await read_bounded_body(request, bounds, timeout)
+        finally:
+            self._body_timeouts.discard(timeout)
+
     def _may_run(self, session: ForwardingSession, deadline: timedelta) -> bool:
         """Return whether a request can be answered before this host exits.
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/draining.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/draining.py
@@ -11,20 +11,25 @@
 # Fraction of the stop time at which every request has its result, the running ones
 # included.
 ANSWER_TIME_FRACTION = 0.9
+# Fraction of the stop time after which nothing more is read from callers. What was read
+# before has its refusal by the time at which the process exits.
+READ_TIME_FRACTION = 0.92
 # Fraction of the stop time after which the process exits even if callers have not
 # received all of their answers.
 FINISH_TIME_FRACTION = 0.95
 # A request that may be repeated is run if this multiple of its target latency is left.
 REPEATABLE_TARGETS = 2
-# Time without a running request before the process exits. A request on a connection
-# that was accepted just before the listener closed is read within this time.
+# Time without a running request before the host stops reading. A request on a
+# connection that was accepted just before the listener closed is read within this time.
 MIN_QUIET_TIME = timedelta(milliseconds=250)
 
 
 class DrainSchedule:
-    """Decides what a stopping host still runs and when it may exit.
+    """Decides what a stopping host still reads and runs, and when it may exit.
 
-    Arguments named ``now`` are monotonic times.
+    It exits in two steps. First it stops reading from callers, so that no request can
+    be read any more; then it waits until all that were read are answered. Arguments
+    named ``now`` are monotonic times.
 
     :param started_at: monotonic time of the stop signal.
     :param stop_time: time from the stop signal until the process is killed.
@@ -35,6 +40,7 @@
     __slots__ = (
         "_exit_deadline",
         "_quiet_since",
+        "_reading_ends_at",
         "answers_due_at",
         "listeners_close_at",
     )
@@ -42,6 +48,7 @@
     def __init__(self, started_at: timedelta, stop_time: timedelta) -> None:
         self.listeners_close_at = started_at + stop_time * ACCEPT_TIME_FRACTION
         self.answers_due_at = started_at + stop_time * ANSWER_TIME_FRACTION
+        self._reading_ends_at = started_at + stop_time * READ_TIME_FRACTION
         self._exit_deadline = started_at + stop_time * FINISH_TIME_FRACTION
         self._quiet_since: timedelta | None = None
 
@@ -61,13 +68,16 @@
             needed = min(needed, rule.target_latency * REPEATABLE_TARGETS)
         return now + needed <= self.answers_due_at
 
-    def may_exit(self, unanswered_count: int, now: timedelta) -> bool:
-        """Return whether the process may exit. Call it only after the listeners closed.
+    def may_end_reading(self, unanswered_count: int, now: timedelta) -> bool:
+        """Return whether the host may stop reading from callers.
+
+        Call it only after the listeners closed. If it returns True, stop reading before
+        the event loop can read again.
 
-        :param unanswered_count: number of requests without a response, and of responses
-            that are not sent completely.
+        :param unanswered_count: number of connections with a request that has begun to
+            arrive, or with a response that is not sent completely.
         """
-        if now >= self._exit_deadline:
+        if now >= self._reading_ends_at:
             return True
         if unanswered_count:
             self._quiet_since = None
@@ -75,3 +85,10 @@
         if self._quiet_since is None:
             self._quiet_since = now
         return now - self._quiet_since >= MIN_QUIET_TIME
+
+    def may_exit(self, unanswered_count: int, now: timedelta) -> bool:
+        """Return whether the process may exit. Call it only after the reading ended.
+
+        :param unanswered_count: as for ``may_end_reading``.
+        """
+        return not unanswered_count or now >= self._exit_deadline
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/listener.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/listener.py
@@ -74,6 +74,11 @@
         """Return how many connections have a request or unsent bytes of a response."""
         return sum(connection.is_unanswered for connection in self.connections)
 
+    def end_reading(self) -> None:
+        """Read nothing more from callers; connections without a request close."""
+        for connection in self.connections:
+            connection.end_reading()
+
     def _make_bounded_request(
         self,
         message: RawRequestMessage,
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/requests.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/requests.py
@@ -1,7 +1,6 @@
 """Reads callers' requests and enforces the configured limits on their size and time."""
 
 import asyncio
-from datetime import timedelta
 from enum import StrEnum
 
 from aiohttp import web
@@ -39,12 +38,12 @@
 
 
 async def read_bounded_body(
-    request: web.BaseRequest, bounds: CallerBounds, time_left: timedelta
+    request: web.BaseRequest, bounds: CallerBounds, timeout: asyncio.Timeout
 ) -> Result[bytes, Rejection]:
     """Check the size of a request head and read the body up to its limit.
 
     :param bounds: limits on the size of head and body.
-    :param time_left: time within which the whole body must arrive.
+    :param timeout: ends when the whole body must have arrived.
     :returns: the body, or why the request is rejected.
     """
     head_bytes = sum(len(name) + len(value) for name, value in request.raw_headers)
@@ -55,7 +54,7 @@
     if (request.content_length or 0) > bounds.body_bytes:
         return Err(Rejection.BODY_TOO_LARGE)
     try:
-        async with asyncio.timeout(time_left.total_seconds()):
+        async with timeout:
             if request.headers.get("Expect", "").lower() == "100-continue":
                 await request.writer.write(CONTINUE_RESPONSE)
             return Ok(await request.read())
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/request_heads.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/request_heads.py
@@ -99,11 +99,35 @@
 
     @property
     def is_unanswered(self) -> bool:
-        """Whether a request has no response, or bytes of a response wait to be sent."""
+        """Whether a request has begun to arrive or has no response yet.
+
+        Also True while bytes of a response wait to be sent.
+        """
         transport = self.transport
         if transport is None:
             return False
-        return not self._is_answered or transport.get_write_buffer_size() > 0
+        is_arriving = self._head_checks is not None
+        has_unsent_bytes = transport.get_write_buffer_size() > 0
+        return is_arriving or self._has_request() or has_unsent_bytes
+
+    def _has_request(self) -> bool:
+        """Return whether a complete request head waits for its response."""
+        return not self._is_answered or bool(self._messages)
+
+    def end_reading(self) -> None:
+        """Read nothing more from the caller.
+
+        Without a request the connection closes now. Bytes that arrive later are not
+        read, so the caller knows that its next request was not run. With a request it
+        closes after the response.
+        """
+        self.close()
+        if self.transport is None:
+            return
+        if self._has_request():
+            self.transport.pause_reading()
+        else:
+            self.transport.close()
 
     def check_head(self) -> None:
         """Close the connection if its head was unfinished at too many checks.
--- a/tests/daemon/test_callers_listener.py
+++ b/tests/daemon/test_callers_listener.py
@@ -1,6 +1,7 @@
 """Tests of the limits on callers of the forwarding daemon, over real connections."""
 
 import asyncio
+import contextlib
 import gzip
 import unittest
 import zlib
@@ -36,12 +37,17 @@
 TEST_TIMEOUT = timedelta(seconds=TEST_TIMEOUT_S)
 
 
+def make_timeout() -> asyncio.Timeout:
+    """Return the time limit of one body."""
+    return asyncio.timeout(TIME_LEFT.total_seconds())
+
+
 class BodyLengthHandler:
     """Handler that answers with the length of the body, or rejects the request."""
 
     async def handle(self, request, bounds):
         """Read the body within the limits and answer."""
-        result = await read_bounded_body(request, bounds, TIME_LEFT)
+        result = await read_bounded_body(request, bounds, make_timeout())
         if result.is_err():
             return web.Response(status=STATUS_CODES[result.unwrap_err()])
         return web.Response(text=str(len(result.unwrap())))
@@ -205,12 +211,110 @@
         self.assertEqual(self.server.count_unanswered(), 1)
 
 
+class CountingHandler:
+    """Handler that counts requests and answers them when it is told to.
+
+    :ivar count: requests so far.
+    :ivar may_answer: set to answer.
+    """
+
+    def __init__(self):
+        self.count = 0
+        self.may_answer = asyncio.Event()
+
+    async def handle(self, request, bounds):
+        """Count the request and answer it."""
+        self.count += 1
+        await self.may_answer.wait()
+        return web.Response(text=str(self.count))
+
+
+class TestEndOfReading(unittest.IsolatedAsyncioTestCase):
+    """Guards against a stopping host that reads requests which it can't answer.
+
+    It used to read from kept connections until its handlers were cancelled, and to
+    pass on what it had read.
+    """
+
+    REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+    async def asyncSetUp(self):
+        configuration = ForwardingConfiguration(1, (), {}, BOUNDS)
+        state = SimpleNamespace(configuration=configuration)
+        self.handler = CountingHandler()
+        self.server = CallersServer(self.handler, state, MAX_DESCRIPTORS)
+        runner = await start_callers_listener(self.server, "127.0.0.1:0")
+        self.addAsyncCleanup(runner.cleanup)
+        self.reader, self.writer = await asyncio.open_connection(*runner.addresses[0])
+        self.addCleanup(self.writer.close)
+
+    async def read_response(self) -> bytes:
+        """Return what arrives until the connection ends."""
+        return await asyncio.wait_for(self.reader.read(), TEST_TIMEOUT_S)
+
+    async def use_connection(self) -> None:
+        """Send one request and read its response, so that the connection is kept."""
+        self.handler.may_answer.set()
+        self.writer.write(self.REQUEST)
+        await asyncio.wait_for(self.reader.readuntil(b"\r\n\r\n1"), TEST_TIMEOUT_S)
+
+    async def wait_for_request(self) -> None:
+        """Wait until the handler has a request."""
+
+        async def has_request() -> bool:
+            return self.handler.count == 1
+
+        await wait_until(has_request, TEST_TIMEOUT, "the request is handled")
+
+    async def test_request_on_a_kept_connection_is_not_read(self):
+        """Guards against handling a request that arrives after the decision."""
+        await self.use_connection()
+        (connection,) = self.server.connections
+        # The bytes are in the socket buffer when the reading ends.
+        self.writer.write(self.REQUEST)
+        self.server.end_reading()
+        # Unread bytes reset the connection.
+        with contextlib.suppress(ConnectionResetError):
+            self.assertEqual(await self.read_response(), b"")
+        self.assertEqual(self.handler.count, 1)
+        self.assertIsNone(connection.transport)
+
+    async def test_running_request_is_answered(self):
+        """Guards against closing a connection that waits for its response."""
+        self.writer.write(self.REQUEST)
+        await self.wait_for_request()
+        self.server.end_reading()
+        self.assertEqual(self.server.count_unanswered(), 1)
+        self.handler.may_answer.set()
+        self.assertTrue((await self.read_response()).endswith(b"1"))
+
+    async def test_request_that_was_read_counts_before_it_is_handled(self):
+        """Guards against an exit between the reading of a request and its start."""
+        await self.use_connection()
+        (connection,) = self.server.connections
+        self.assertEqual(self.server.count_unanswered(), 0)
+        connection.data_received(self.REQUEST)
+        self.assertEqual(self.handler.count, 1)
+        self.assertEqual(self.server.count_unanswered(), 1)
+        self.server.end_reading()
+        self.assertTrue((await self.read_response()).endswith(b"2"))
+
+    async def test_head_that_has_begun_counts(self):
+        """Guards against an exit while the rest of a request is on its way."""
+        await self.use_connection()
+        (connection,) = self.server.connections
+        connection.data_received(self.REQUEST[:10])
+        self.assertEqual(self.server.count_unanswered(), 1)
+        self.server.end_reading()
+        self.assertEqual(await self.read_response(), b"")
+
+
 class EchoHandler:
     """Handler that answers with the body as it was read."""
 
     async def handle(self, request, bounds):
         """Read the body within the limits and return it."""
-        result = await read_bounded_body(request, bounds, TIME_LEFT)
+        result = await read_bounded_body(request, bounds, make_timeout())
         if result.is_err():
             return web.Response(status=STATUS_CODES[result.unwrap_err()])
         return web.Response(body=result.unwrap())
--- a/tests/daemon/test_draining.py
+++ b/tests/daemon/test_draining.py
@@ -24,13 +24,16 @@
         self.schedule = DrainSchedule(timedelta(0), STOP_TIME)
 
     def find_exit_time(self, counts: list[int]) -> timedelta:
-        """Return when the process exits.
+        """Return when the process exits, which is after it has stopped reading.
 
         :param counts: number of running requests at each step; the last one repeats.
         """
         now = self.schedule.listeners_close_at
+        is_reading = True
         for count in [*counts, *[counts[-1]] * 1000]:
-            if self.schedule.may_exit(count, now):
+            if is_reading:
+                is_reading = not self.schedule.may_end_reading(count, now)
+            if not is_reading and self.schedule.may_exit(count, now):
                 return now
             now += STEP
         raise AssertionError("the process never exits")
@@ -56,6 +59,18 @@
         self.assertLess(exit_time, STOP_TIME)
         self.assertGreater(exit_time, STOP_TIME * 0.8)
 
+    def test_reading_ends_while_there_is_time_to_refuse(self):
+        """Guards against reading a request just before the process exits.
+
+        Callers that send without a pause keep the host from ever being quiet.
+        """
+        now = self.schedule.answers_due_at
+        self.assertFalse(self.schedule.may_end_reading(1, now))
+        while not self.schedule.may_end_reading(1, now):
+            now += STEP
+        self.assertFalse(self.schedule.may_exit(1, now + STEP))
+        self.assertTrue(self.schedule.may_exit(0, now))
+
     def test_requests_are_accepted_while_callers_may_still_come(self):
         """Guards against closing the listeners while callers still use the address."""
         self.assertGreaterEqual(self.schedule.listeners_close_at, timedelta(seconds=3))
