Ask upstreams that may have been replaced before they get requests

Cause: what was not known counted as known. A host took the process that accepted a connection for the one that the entry describes, unless connections had been refused in between. After a silence, a reset or an outage of the store nobody asked the upstream, whose health check says that it is cold.

Change: ProcessObservations says for each new connection whether the process is Known or Unknown. An upstream whose process is unknown is asked for its health on that connection before the request; requests share a question, and an attempt is not sent if its upstream turned out to be cold. The registry says whether the source is known to be readable; before the first reading it is not. The stand-in of an upstream answers health checks and can go dark; the configuration of the system tests names the health check, as the users' does.

mark_source_back is called mark_source_read, as it now also marks the first reading; its tests are unchanged but for the name.

--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/models.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/models.py
@@ -69,11 +69,14 @@
     :param max_connections: connections that one upstream accepts from all hosts.
     :param cold_requests_per_s: requests per second that a cold upstream can process.
     :param cold_time: time for which an upstream is cold after its start.
+    :param health_path: path at which an upstream tells whether it is cold, empty if
+        there is none.
     """
 
     max_connections: int
     cold_requests_per_s: float
     cold_time: timedelta = timedelta(0)
+    health_path: str = ""
 
 
 class CallerBounds(msgspec.Struct, frozen=True, gc=False):
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/registry.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/registry.py
@@ -26,8 +26,8 @@
         "_by_service",
         "_cold_until",
         "_missing_since",
+        "_is_source_read",
         "_source_back_at",
-        "_source_is_lost",
         "_upstreams",
         "domains_out",
         "revision",
@@ -40,7 +40,8 @@
         self._by_service: dict[str, dict[str, Upstream]] = {}
         self._cold_until: dict[str, timedelta] = {}
         self._missing_since: dict[str, timedelta] = {}
-        self._source_is_lost = False
+        # Whether the source can be read, None until that is known.
+        self._is_source_read: bool | None = None
         self._source_back_at: timedelta | None = None
 
     def __len__(self) -> int:
@@ -65,13 +66,13 @@
 
     def mark_source_lost(self) -> None:
         """Mark the source as unreadable; missing entries are kept from now on."""
-        self._source_is_lost = True
+        self._is_source_read = False
 
-    def mark_source_back(self, now: timedelta) -> None:
-        """Mark the source as readable again, which starts the grace period."""
-        if self._source_is_lost:
-            self._source_is_lost = False
+    def mark_source_read(self, now: timedelta) -> None:
+        """Mark the source as readable, which starts the grace period after a loss."""
+        if self._is_source_read is False:
             self._source_back_at = now
+        self._is_source_read = True
 
     def put(self, upstream: Upstream, now: timedelta) -> bool:
         """Add or replace one entry.
@@ -128,11 +129,19 @@
 
     def is_in_grace_period(self, now: timedelta) -> bool:
         """Return whether a missing entry may still reappear."""
-        if self._source_is_lost:
+        if self._is_source_read is False:
             return True
         back_at = self._source_back_at
         return back_at is not None and now - back_at < SOURCE_BACK_GRACE
 
+    def is_current(self, now: timedelta) -> bool:
+        """Return whether the entries are known to describe the upstreams as they are.
+
+        A source that can be read announces each new process. Before the first reading,
+        without one, and in the grace period after a loss that is not known.
+        """
+        return self._is_source_read is True and not self.is_in_grace_period(now)
+
     def _drop(self, instance_id: str) -> None:
         upstream = self._upstreams.pop(instance_id)
         self._by_service[upstream.service].pop(instance_id, None)
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/restarts.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/restarts.py
@@ -65,6 +65,14 @@
         absence.cold_until = now + cold_time
         return True
 
+    def record_cold(
+        self, instance_id: str, time_left: timedelta, now: timedelta
+    ) -> None:
+        """Record that an upstream has said to this host that it is cold."""
+        absence = self._absences[instance_id] = _Absence()
+        absence.returned_at = now
+        absence.cold_until = now + time_left
+
     def record_reported(
         self, instance_id: str, time_left: timedelta, now: timedelta
     ) -> None:
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/selection.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/selection.py
@@ -20,6 +20,9 @@
 # Fraction of an upstream's connections that the fleet uses; the rest is for health
 # checks and for connections that are being closed.
 USED_CONNECTION_FRACTION = 0.8
+# Reasons of a selection that callers compare.
+COLD_REASON = "cold"
+SUSPECTED_REASON = "suspected"
 DEFAULT_SERVICE_BOUNDS = ServiceBounds(max_connections=16, cold_requests_per_s=0.0)
 
 
@@ -211,14 +214,14 @@
             bounds = self.services.get(upstream.service, DEFAULT_SERVICE_BOUNDS)
             rate = bounds.cold_requests_per_s
             if self._warmup.may_send(upstream.instance_id, rate, now):
-                return Selection(upstream, "cold")
+                return Selection(upstream, COLD_REASON)
         return None
 
     def _choose_suspected(self, warm: list[Upstream]) -> Selection | None:
         if not warm:
             return None
         best = min(warm, key=lambda u: self.get_health(u.instance_id).suspected_until)
-        return Selection(best, "suspected")
+        return Selection(best, SUSPECTED_REASON)
 
     def _pick_better_of_two(
         self, upstreams: list[Upstream], now: timedelta
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/session.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/session.py
@@ -37,7 +37,12 @@
     count_required_shards,
     is_final_failure,
 )
-from celeryferry_core.forwarding.selection import Selection, UpstreamSelector
+from celeryferry_core.forwarding.selection import (
+    COLD_REASON,
+    SUSPECTED_REASON,
+    Selection,
+    UpstreamSelector,
+)
 from celeryferry_core.forwarding.timing import LATEST_HEDGE_RATIO, TimesByRule
 from celeryferry_core.mechanisms import Mechanisms
 
@@ -283,7 +288,7 @@
         if shard.open_count != 1 or shard.run_count >= self.rule.max_attempts:
             return
         selection = self._context.selector.choose(shard.service, now, shard.tried)
-        if selection is None or selection.reason in ("cold", "suspected"):
+        if selection is None or selection.reason in (COLD_REASON, SUSPECTED_REASON):
             return
         if self._try_acquire_budget(shard, now):
             self._add_attempt(shard, selection.upstream, f"hedge_{selection.reason}")
@@ -346,11 +351,16 @@
     def may_send(self, attempt_id: int, now: timedelta) -> bool:
         """Return whether an attempt may still be sent to its upstream.
 
-        The upstream may have said that it leaves or wants a pause while the attempt
-        waited for a connection.
+        The upstream may have said that it leaves, wants a pause or is cold while the
+        attempt waited for a connection.
         """
-        upstream = self.attempts[attempt_id].upstream
-        return self._context.selector.may_use(upstream, now)
+        attempt, selector = self.attempts[attempt_id], self._context.selector
+        if not selector.may_use(attempt.upstream, now):
+            return False
+        is_chosen_as_cold = attempt.reason == COLD_REASON
+        return is_chosen_as_cold or not selector.is_cold(
+            attempt.upstream.instance_id, now
+        )
 
     def _count_usable_shards(self, now: timedelta) -> int:
         has_usable_upstream = self._context.selector.has_usable_upstream
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
@@ -19,6 +19,7 @@
 from celeryferry_daemon._internal.forwarding.callers import CallersHandler
 from celeryferry_daemon._internal.forwarding.draining import DrainSchedule
 from celeryferry_daemon._internal.forwarding.follower import SourceFollower
+from celeryferry_daemon._internal.forwarding.health_inquiry import HealthInquiry
 from celeryferry_daemon._internal.forwarding.listener import (
     CallersServer,
     start_callers_listener,
@@ -79,6 +80,7 @@
         self._state = HostState(
             settings, self._random, self._pool, self._log, self._clock.monotonic()
         )
+        self._pool.inquiry = HealthInquiry(self._state, wire, self._clock, self._log)
         self._followers = {
             source.name: SourceFollower(
                 source, self._state, self._clock, self._random, self._log
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/connection.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/connection.py
@@ -13,6 +13,8 @@
 import httptools
 import msgspec
 
+from celeryferry_core.environment import Clock
+
 MAX_RESPONSE_BYTES = 4 * 1_048_576
 # Limits on bytes that may come without end: of one head, and of all that arrives for
 # one request, with chunk sizes, trailers and responses to earlier requests.
@@ -101,6 +103,11 @@
     :param instance_id: instance id of the upstream.
     :param received: counts the bytes of all responses.
     :param on_closed: called once, when the connection is closed.
+    :param clock: source of time.
+    :ivar opened_at: monotonic time at which it was opened.
+    :ivar heard_at: monotonic time at which bytes last arrived, at first ``opened_at``.
+    :ivar sent_at: monotonic time at which the request under way was sent, None without
+        one.
     :ivar has_carried_request: whether a request was sent on it.
     :ivar is_lost: whether it was ended by the upstream or the network, and the upstream
         had not announced that.
@@ -112,6 +119,7 @@
         "_accepts",
         "_body",
         "_body_bytes",
+        "_clock",
         "_exchange_bytes",
         "_has_length",
         "_head_bytes",
@@ -126,9 +134,12 @@
         "_received",
         "has_carried_request",
         "has_unexpected_data",
+        "heard_at",
         "instance_id",
         "is_closed",
         "is_lost",
+        "opened_at",
+        "sent_at",
         "transport",
     )
 
@@ -137,7 +148,11 @@
         instance_id: str,
         received: ReceivedBytes,
         on_closed: Callable[["UpstreamConnection"], None],
+        clock: Clock,
     ) -> None:
+        self._clock = clock
+        self.opened_at = self.heard_at = clock.monotonic()
+        self.sent_at: timedelta | None = None
         self.instance_id = instance_id
         self._received = received
         self._on_closed = on_closed
@@ -173,6 +188,7 @@
         self._interim_count = 0
         self._parser = httptools.HttpResponseParser(self)
         self.has_carried_request = True
+        self.sent_at = self._clock.monotonic()
         self.transport.write(payload)
         try:
             return await self._outcome
@@ -180,6 +196,7 @@
             self.close()
             raise
         finally:
+            self.sent_at = None
             self._outcome = None
             self._parser = None
             self._reset_message()
@@ -201,6 +218,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set its acknowledgement timeout."""
         self.transport = transport
+        self.opened_at = self.heard_at = self._clock.monotonic()
         set_acknowledgement_timeout(transport)
 
     def data_received(self, data: bytes) -> None:
@@ -209,6 +227,7 @@
             self.has_unexpected_data = True
             self.close()
             return
+        self.heard_at = self._clock.monotonic()
         self._exchange_bytes += len(data)
         self._received.add(self, len(data))
         if self._is_done():
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
@@ -314,14 +314,16 @@
             is_unavailable = True
         else:
             return
+        now = self._clock.monotonic()
+        if not is_unavailable:
+            self._state.registry.mark_source_read(now)
         if is_unavailable == self.is_unavailable:
             return
         self.is_unavailable = is_unavailable
         if is_unavailable:
-            self._state.registry.mark_source_lost()
+            self._state.record_source_lost(now)
             self._log.write("source_lost", source=self.source.name, reason=reason)
         else:
-            self._state.registry.mark_source_back(self._clock.monotonic())
             self._log.write(
                 "source_back", source=self.source.name, revision=self.revision
             )
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/pool.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/pool.py
@@ -11,6 +11,14 @@
 from celeryferry_core.forwarding.models import Upstream
 from celeryferry_core.forwarding.outcomes import LossReason, Lost, Refused
 from celeryferry_core.forwarding.outcomes import RefusalReason as Reason
+from celeryferry_core.forwarding.processes import (
+    SILENCE_TIME,
+    DoubtCause,
+    Known,
+    ProcessIdentity,
+    ProcessObservations,
+    Unknown,
+)
 from celeryferry_daemon._internal.forwarding.connection import (
     ConnectionLost,
     MalformedResponse,
@@ -19,10 +27,17 @@
     ResponsePredicate,
     UpstreamConnection,
 )
+from celeryferry_daemon._internal.forwarding.inquiry import Inquiry, TrustingInquiry
 
 # Connecting to a running upstream takes a few milliseconds. One whose machine is gone
 # never answers, so waiting longer is of no use.
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
+# An upstream that is asked whether it is cold answers as soon as it has a free slot.
+# Requests wait for the answer, so the connection has less time than usual.
+QUESTION_CONNECT_TIMEOUT = timedelta(milliseconds=250)
+QUESTION_TIMEOUT = timedelta(seconds=1)
+# Time between two questions to an upstream that did not answer.
+QUESTION_INTERVAL = timedelta(milliseconds=100)
 # Upstreams close idle connections after an idle timeout that each upstream chooses.
 # This is the longest time that an idle connection is kept here; a Keep-Alive header can
 # only shorten it.
@@ -49,12 +64,17 @@
 
     When the last connection to an upstream is lost, the pool connects again at once.
     This tells a process that has ended, which refuses the connection, from one that has
-    only closed connections.
+    only closed connections. An upstream whose process is not known is asked whether it
+    is cold before it gets a request on a new connection.
 
     :ivar on_reached: called with each upstream that has accepted a connection, and the
         monotonic time.
     :ivar on_refused: called with each upstream that refuses connections while none to
         it is open.
+    :ivar is_source_read: returns whether the source of entries would announce a new
+        process, given the monotonic time.
+    :ivar inquiry: asks upstreams whether they are cold.
+    :ivar processes: what is known of the processes of upstreams.
     :ivar opened_count: connections opened since the start.
     """
 
@@ -63,11 +83,16 @@
         "_checks",
         "_clock",
         "_idle",
+        "_next_question_at",
         "_open_connections",
+        "_questions",
         "_received",
+        "inquiry",
+        "is_source_read",
         "on_reached",
         "on_refused",
         "opened_count",
+        "processes",
     )
 
     def __init__(self, clock: Clock) -> None:
@@ -77,6 +102,11 @@
         # Open connections by instance id, each with its upstream.
         self._open_connections: dict[str, dict[UpstreamConnection, Upstream]] = {}
         self._checks: dict[str, asyncio.Task] = {}
+        self._questions: dict[str, asyncio.Task[bool]] = {}
+        self._next_question_at: dict[str, timedelta] = {}
+        self.processes = ProcessObservations()
+        self.inquiry: Inquiry = TrustingInquiry()
+        self.is_source_read: Callable[[timedelta], bool] = lambda now: True
         self._received = ReceivedBytes()
         self.on_reached: Callable[[Upstream, timedelta], None] = lambda upstream, now: (
             None
@@ -103,27 +133,31 @@
         :returns: the response, ``Refused`` if nothing was sent, or ``Lost`` if it is
             unknown whether the upstream ran the request.
         """
-        is_sent = False
+        connection: UpstreamConnection | None = None
+        sent_at: timedelta | None = None
         try:
             async with asyncio.timeout(self._seconds_until(deadline)):
-                connection = self._acquire_idle(upstream, is_repeatable)
-                if connection is None:
-                    connection = await self._open(upstream)
+                connection = await self._acquire(upstream, is_repeatable)
                 if connection is None:
                     return Refused(Reason.CONNECT_FAILED)
                 payload = make_payload(self._clock.monotonic())
                 if payload is None:
                     self._release(upstream, connection, None)
                     return Refused(Reason.NOT_SENT)
-                is_sent = True
+                sent_at = self._clock.monotonic()
                 return await self._exchange(upstream, connection, payload, accepts)
         except TimeoutError:
-            if is_sent:
+            if sent_at is not None:
+                self._record_doubt(upstream, connection.heard_at, DoubtCause.SILENT)
                 # The connection may be dead without a reset. Idle connections to the
                 # same upstream may be dead for the same reason.
                 self.close_idle(upstream.instance_id)
                 return Lost(LossReason.TIMEOUT)
             return Refused(Reason.CONNECT_FAILED)
+        except asyncio.CancelledError:
+            if sent_at is not None and self._is_silent(connection, sent_at):
+                self._record_doubt(upstream, connection.heard_at, DoubtCause.SILENT)
+            raise
 
     def close_idle(self, instance_id: str) -> None:
         """Close the idle connections to an upstream."""
@@ -139,6 +173,11 @@
                     idle.connection.close()
             if not idle_connections:
                 self._idle.pop(instance_id, None)
+        self._next_question_at = {
+            instance_id: at
+            for instance_id, at in self._next_question_at.items()
+            if now < at
+        }
 
     def check_presence(self, upstream: Upstream) -> None:
         """Connect to an upstream in the background; nothing is sent.
@@ -148,19 +187,137 @@
         """
         instance_id = upstream.instance_id
         if instance_id not in self._checks:
-            task = asyncio.get_running_loop().create_task(self._connect_idle(upstream))
+            task = asyncio.get_running_loop().create_task(self._check(upstream))
             self._checks[instance_id] = task
             task.add_done_callback(lambda _: self._checks.pop(instance_id, None))
 
-    async def _connect_idle(self, upstream: Upstream) -> None:
+    def record_source_lost(self, unnoticed_time: timedelta, now: timedelta) -> None:
+        """Record that the source of entries can't be read.
+
+        :param unnoticed_time: time for which the loss may have been unnoticed.
+        """
+        self.processes.record_source_lost(self._open_connections, unnoticed_time, now)
+
+    async def _check(self, upstream: Upstream) -> None:
+        identity = self._identify(upstream)
+        if isinstance(identity, Unknown) and self.inquiry.may_ask(upstream):
+            await self._ask(upstream, identity.cause)
+            return
         connection = await self._open(upstream)
         if connection is not None:
             self._release(upstream, connection, None)
 
+    async def _acquire(
+        self, upstream: Upstream, is_repeatable: bool
+    ) -> UpstreamConnection | None:
+        """Return a connection to the known process of an upstream, None without one."""
+        while True:
+            identity = self._identify(upstream)
+            connection = self._acquire_idle(upstream, is_repeatable, identity)
+            if connection is not None:
+                return connection
+            if isinstance(identity, Unknown):
+                if not await self._ask(upstream, identity.cause):
+                    return None
+                continue
+            connection = await self._open(upstream)
+            if connection is None or isinstance(self._identify(upstream), Known):
+                return connection
+            self._release(upstream, connection, None)
+
+    def _identify(self, upstream: Upstream) -> ProcessIdentity:
+        now = self._clock.monotonic()
+        instance_id = upstream.instance_id
+        connections = self._open_connections.get(instance_id, {})
+        return self.processes.identify(
+            instance_id,
+            connections,
+            self.is_source_read(now),
+            self.inquiry.is_askable(upstream),
+            now,
+        )
+
+    def _record_doubt(
+        self, upstream: Upstream, since: timedelta, cause: DoubtCause
+    ) -> None:
+        now = self._clock.monotonic()
+        self.processes.record_doubt(upstream.instance_id, since, cause, now)
+
+    def _is_silent(self, connection: UpstreamConnection, sent_at: timedelta) -> bool:
+        """Return whether a request that is being cancelled was sent long ago."""
+        silent_since = max(sent_at, connection.heard_at)
+        return self._clock.monotonic() - silent_since >= SILENCE_TIME
+
+    async def _ask(self, upstream: Upstream, cause: DoubtCause) -> bool:
+        """Ask an upstream whether it is cold; concurrent calls share one question.
+
+        :param cause: why its process is not known.
+        :returns: whether its process is known now.
+        """
+        instance_id = upstream.instance_id
+        task = self._questions.get(instance_id)
+        if task is None:
+            if not self.inquiry.may_ask(upstream):
+                return False
+            next_at = self._next_question_at.get(instance_id)
+            if next_at is not None and self._clock.monotonic() < next_at:
+                return False
+            self.inquiry.record_question(upstream, cause)
+            task = asyncio.get_running_loop().create_task(self._run_question(upstream))
+            self._questions[instance_id] = task
+            task.add_done_callback(lambda _: self._questions.pop(instance_id, None))
+        return await asyncio.shield(task)
+
+    async def _run_question(self, upstream: Upstream) -> bool:
+        instance_id = upstream.instance_id
+        is_answered = False
+        try:
+            async with asyncio.timeout(QUESTION_TIMEOUT.total_seconds()):
+                is_answered = await self._exchange_question(upstream)
+        except TimeoutError:
+            pass
+        if is_answered:
+            self._next_question_at.pop(instance_id, None)
+        else:
+            next_at = self._clock.monotonic() + QUESTION_INTERVAL
+            self._next_question_at[instance_id] = next_at
+        return is_answered
+
+    async def _exchange_question(self, upstream: Upstream) -> bool:
+        connection = await self._open(upstream, QUESTION_CONNECT_TIMEOUT)
+        if connection is None:
+            return False
+        if not self.inquiry.is_askable(upstream):
+            self.inquiry.record_unanswerable(upstream)
+            self._settle(upstream, connection)
+            self._release(upstream, connection, None)
+            return True
+        payload = self.inquiry.make_question(upstream)
+        response = await self._exchange(
+            upstream, connection, payload, lambda response: True
+        )
+        is_answered = isinstance(response, RawResponse) and self.inquiry.record_answer(
+            upstream, response
+        )
+        if is_answered:
+            self._settle(upstream, connection)
+        return is_answered
+
+    def _settle(self, upstream: Upstream, connection: UpstreamConnection) -> None:
+        """Record that the process at the other end of a connection is known.
+
+        Idle connections that may reach another one are closed.
+        """
+        instance_id = upstream.instance_id
+        for idle in list(self._idle.get(instance_id, ())):
+            if idle.connection is not connection:
+                idle.connection.close()
+        self.processes.record_asked(instance_id, self._clock.monotonic())
+
     def close(self) -> None:
         """Close all connections, including those with a running exchange."""
-        for check in list(self._checks.values()):
-            check.cancel()
+        for task in (*self._checks.values(), *self._questions.values()):
+            task.cancel()
         for instance_id in list(self._idle):
             self.close_idle(instance_id)
         for connection in list(self._busy):
@@ -169,14 +326,19 @@
     def _seconds_until(self, deadline: timedelta) -> float:
         return max(0.0, (deadline - self._clock.monotonic()).total_seconds())
 
-    async def _open(self, upstream: Upstream) -> UpstreamConnection | None:
+    async def _open(
+        self, upstream: Upstream, timeout: timedelta = CONNECT_TIMEOUT
+    ) -> UpstreamConnection | None:
         ip, port = split_address(upstream.address)
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
+            async with asyncio.timeout(timeout.total_seconds()):
                 _, connection = await loop.create_connection(
                     lambda: UpstreamConnection(
-                        upstream.instance_id, self._received, self._forget_closed
+                        upstream.instance_id,
+                        self._received,
+                        self._forget_closed,
+                        self._clock,
                     ),
                     ip,
                     port,
@@ -186,7 +348,13 @@
             if upstream.instance_id not in self._open_connections:
                 self.on_refused(upstream)
             return None
-        except (OSError, ValueError, OverflowError, TimeoutError):
+        except (OSError, TimeoutError):
+            opened = self._open_connections.get(upstream.instance_id, {})
+            since = max((each.heard_at for each in opened), default=timedelta(0))
+            self._record_doubt(upstream, since, DoubtCause.UNREACHABLE)
+            return None
+        except (ValueError, OverflowError):
+            # Not an address.
             return None
         self.opened_count += 1
         if connection.is_closed:
@@ -215,7 +383,7 @@
                 return Lost(LossReason.BAD_RESPONSE)
 
     def _acquire_idle(
-        self, upstream: Upstream, is_repeatable: bool
+        self, upstream: Upstream, is_repeatable: bool, identity: ProcessIdentity
     ) -> UpstreamConnection | None:
         idle_connections = self._idle.get(upstream.instance_id, [])
         now = self._clock.monotonic()
@@ -223,7 +391,12 @@
             idle = idle_connections.pop()
             idle_time = now - idle.since
             is_fresh = is_repeatable or idle_time < MAX_IDLE_TIME_UNREPEATABLE
-            if idle_time < idle.max_idle_time and is_fresh:
+            match identity:
+                case Known():
+                    reaches_known = True
+                case Unknown(since):
+                    reaches_known = idle.connection.opened_at <= since
+            if idle_time < idle.max_idle_time and is_fresh and reaches_known:
                 self._busy.add(idle.connection)
                 return idle.connection
             idle.connection.close()
@@ -262,12 +435,17 @@
         opened = self._open_connections.get(connection.instance_id, {})
         # A connection may also close while it is being opened.
         upstream = opened.pop(connection, None)
-        if upstream is None or opened:
+        if upstream is None:
             return
-        del self._open_connections[connection.instance_id]
         # A connection that carried nothing is not replaced, as an upstream with a short
         # idle timeout would close its successors, too.
-        if connection.is_lost and connection.has_carried_request:
+        is_telling = connection.is_lost and connection.has_carried_request
+        if is_telling:
+            self._record_doubt(upstream, connection.heard_at, DoubtCause.LOST)
+        if opened:
+            return
+        del self._open_connections[connection.instance_id]
+        if is_telling:
             self.check_presence(upstream)
 
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/ports.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/ports.py
@@ -11,6 +11,7 @@
 from celeryferry_core.forwarding.models import ForwardingConfiguration, Upstream
 from celeryferry_core.forwarding.notices import UpstreamNotice
 from celeryferry_core.forwarding.outcomes import AttemptOutcome, RequestResult
+from celeryferry_core.forwarding.processes import WarmupStatement
 from celeryferry_daemon._internal.forwarding.connection import RawResponse
 from celeryferry_daemon._internal.forwarding.messages import (
     CallerRequest,
@@ -183,6 +184,12 @@
     def read_notice(self, response: RawResponse) -> UpstreamNotice | None:
         """Return what a response says of its upstream, None if nothing."""
 
+    def make_health_request(self, upstream: Upstream, path: str) -> bytes:
+        """Return the encoded request that asks an upstream for its health."""
+
+    def read_health(self, upstream: Upstream, response: RawResponse) -> WarmupStatement:
+        """Return what a response to the health check says of the cold start."""
+
     def make_response(self, result: RequestResult) -> CallerResponse:
         """Return the response to the caller."""
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
@@ -12,6 +12,13 @@
 from celeryferry_core.forwarding.hosts import HostInfo
 from celeryferry_core.forwarding.models import ForwardingConfiguration, Upstream
 from celeryferry_core.forwarding.notices import UpstreamNotice, UpstreamNotices
+from celeryferry_core.forwarding.processes import (
+    Cold,
+    Undecided,
+    Unstated,
+    Warm,
+    WarmupStatement,
+)
 from celeryferry_core.forwarding.registry import UpstreamRegistry
 from celeryferry_core.forwarding.restarts import RestartObservations, is_new_process
 from celeryferry_core.forwarding.rules import RuleTable, list_services
@@ -56,6 +63,7 @@
     """
 
     __slots__ = (
+        "_contact_time",
         "_host_id",
         "_log",
         "_pool",
@@ -80,6 +88,7 @@
         now: timedelta,
     ) -> None:
         self._host_id = settings.host_id
+        self._contact_time = settings.contact_time
         self._pool = pool
         self._log = log
         self.configuration: ForwardingConfiguration | None = None
@@ -103,6 +112,7 @@
         self.session_context = SessionContext(selector, budgets, TimesByRule(), random)
         pool.on_refused = self._record_refused
         pool.on_reached = self._record_reached
+        pool.is_source_read = self.registry.is_current
 
     def replace_settings(self, settings: ForwardingSettings) -> None:
         """Apply the limits of changed settings: extra requests and cold upstreams."""
@@ -153,6 +163,7 @@
                 if self.registry.put(upstream, now):
                     if is_new_process(upstream, known):
                         self.restarts.forget(upstream.instance_id)
+                        self._pool.processes.forget(upstream.instance_id)
                     self._log.write("upstream_listed", upstream=upstream)
             case UpstreamUnlisted(key, instance_id):
                 self._rejected_keys.discard(key)
@@ -215,6 +226,45 @@
         ready = (each for each in self.registry.list_all() if not each.is_draining)
         return self.notices.list_reported(ready, reports_all)
 
+    def record_source_lost(self, now: timedelta) -> None:
+        """Record that no host can read the source of entries."""
+        self.registry.mark_source_lost()
+        self._pool.record_source_lost(self._contact_time, now)
+
+    def record_statement(
+        self, upstream: Upstream, statement: WarmupStatement, now: timedelta
+    ) -> bool:
+        """Record what an upstream has answered when it was asked whether it is cold.
+
+        One that does not say is taken for a new process.
+
+        :returns: whether this settles the question.
+        """
+        match statement:
+            case Undecided():
+                return False
+            case Warm():
+                time_left = timedelta(0)
+            case Cold(time_left):
+                pass
+            case Unstated():
+                time_left = self._get_cold_time(upstream)
+        instance_id = upstream.instance_id
+        if time_left and self.registry.get(instance_id) is not None:
+            self.restarts.record_cold(instance_id, time_left, now)
+        self._log.write(
+            "upstream_asked",
+            instance_id=instance_id,
+            statement=type(statement).__name__.lower(),
+            cold_for_s=time_left.total_seconds(),
+        )
+        return True
+
+    def get_health_path(self, upstream: Upstream) -> str:
+        """Return the path of an upstream's health check, empty if there is none."""
+        services = self.session_context.selector.services
+        return services.get(upstream.service, DEFAULT_SERVICE_BOUNDS).health_path
+
     def apply_leaving_reports(self, hosts: Iterable[HostInfo], now: timedelta) -> None:
         """Apply what upstreams have said to other hosts.
 
@@ -260,6 +310,8 @@
     def _record_reached(self, upstream: Upstream, now: timedelta) -> None:
         cold_time = self._get_cold_time(upstream)
         if self.restarts.record_reached(upstream.instance_id, cold_time, now):
+            # It is known to be a new process, so there is nothing to ask.
+            self._pool.processes.record_asked(upstream.instance_id, now)
             self.notices.record_new_process(upstream.instance_id)
             self._log.write(
                 "upstream_returned",
@@ -277,9 +329,14 @@
         :param now: current monotonic time.
         """
         self.notices.expire(now)
+        self._pool.processes.keep_only(self.is_listed)
         for instance_id in self.registry.drop_missing(now):
             self._remove_upstream(instance_id, now)
 
+    def is_listed(self, instance_id: str) -> bool:
+        """Return whether an upstream is listed."""
+        return self.registry.get(instance_id) is not None
+
     def _reject(self, key: str, reason: str) -> None:
         """Log an invalid item once, until a valid value replaces it."""
         if key not in self._rejected_keys:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/entries.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/entries.py
@@ -38,6 +38,9 @@
 # header or the whole request head.
 _INSTANCE_ID = re.compile(r"[!-~]{1,200}")
 
+# Other characters would end the request line.
+_PATH = re.compile(r"/[!-~]{0,1000}")
+
 # Ranges of the numbers in entries. Larger ones can't be converted to durations, written
 # to the log or compared in a meaningful way.
 _MAX_DURATION_MS = 86_400_000
@@ -81,6 +84,7 @@
     max_conns: _Count = 16
     warmup_per_s: _Rate = 0.0
     warmup_s: Annotated[float, Meta(ge=0, le=86_400)] = 0.0
+    health_check: str | None = None
 
 
 class _Limits(msgspec.Struct):
@@ -135,6 +139,7 @@
             backend.max_conns,
             backend.warmup_per_s,
             timedelta(seconds=backend.warmup_s),
+            _translate_health_path(backend.health_check),
         )
         for backend in document.backends
     }
@@ -182,6 +187,11 @@
     )
 
 
+def _translate_health_path(path: str | None) -> str:
+    """Return a path that can be sent in a request line, empty without one."""
+    return path if path is not None and _PATH.fullmatch(path) else ""
+
+
 def _translate_route(route: _Route) -> ForwardingRule:
     match route:
         case _Route(gather=[_, *_] as services):
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/wire.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/wire.py
@@ -23,6 +23,13 @@
     UnknownResult,
     UpstreamResponse,
 )
+from celeryferry_core.forwarding.processes import (
+    Cold,
+    Undecided,
+    Unstated,
+    Warm,
+    WarmupStatement,
+)
 from celeryferry_daemon._internal.forwarding.connection import RawResponse
 from celeryferry_daemon._internal.forwarding.messages import (
     CallerRequest,
@@ -38,6 +45,8 @@
 NOT_EXECUTED_HEADER = "x-not-executed"
 LOAD_HEADER = "x-server-load"
 LEAVING_HEADER = "server-leaving"
+INSTANCE_HEADER = "x-instance-id"
+WARMUP_HEADER = "x-warmup-ms"
 PART_STAMPS_HEADER = "X-Part-Stamps"
 MISSING_PARTS_HEADER = "X-Missing-Parts"
 RETRY_AFTER_HEADER = "Retry-After"
@@ -73,6 +82,9 @@
 _UNAVAILABLE_STATUS = 503
 _GATEWAY_TIMEOUT_STATUS = 504
 _MILLISECOND = timedelta(milliseconds=1)
+_OK_STATUS = 200
+# Fractions are accepted. Nine digits are eleven days.
+_WARMUP_MS = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 # Ten digits are 115 days.
 _DEADLINE_MS = re.compile(r"-?[0-9]{1,10}(?:\.[0-9]{1,10})?")
 # Seconds. Longer numbers and dates are not part of the platform's protocol.
@@ -187,6 +199,36 @@
     return UpstreamNotice(is_leaving, timedelta(seconds=float(stated)))
 
 
+def make_health_request(upstream: Upstream, path: str) -> bytes:
+    """Return the request that asks an upstream for its health.
+
+    :param path: path of the health check of its service.
+    """
+    return f"GET {path} HTTP/1.1\r\nHost: {upstream.address}\r\n\r\n".encode()
+
+
+def read_health(upstream: Upstream, response: RawResponse) -> WarmupStatement:
+    """Return what a response to the health check says of the cold start.
+
+    An upstream that is failing or leaving answers 503, and says how long it is cold as
+    well. One that is full answers 503 without its id, as to any request.
+    """
+    instance_id = response.get_header(INSTANCE_HEADER)
+    if instance_id not in (None, upstream.instance_id):
+        return Undecided()
+    if response.status == _UNAVAILABLE_STATUS and instance_id is None:
+        return Undecided()
+    if response.status not in (_OK_STATUS, _UNAVAILABLE_STATUS):
+        return Unstated()
+    stated = response.get_header(WARMUP_HEADER)
+    if stated is None:
+        return Warm()
+    if _WARMUP_MS.fullmatch(stated) is None:
+        return Unstated()
+    time_left = timedelta(milliseconds=float(stated))
+    return Cold(time_left) if time_left else Warm()
+
+
 def make_response(result: RequestResult) -> CallerResponse:
     """Return the response to the caller for the result of its request."""
     match result:
--- a/packages/celeryferry-standins/src/celeryferry_standins/platform/upstream.py
+++ b/packages/celeryferry-standins/src/celeryferry_standins/platform/upstream.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 RECORD_BYTES = 16
+HEALTH_PATH = "/healthz"
 
 
 class PlatformUpstream:
@@ -25,6 +26,8 @@
     :ivar pause: pause that it asks for; it turns each request away. None to serve.
     :ivar started_ms: time of its start as its entry states it.
     :ivar cold_time: time for which its entry says that it is cold.
+    :ivar cold_until: monotonic time until which it says so when it is asked.
+    :ivar question_count: how often it was asked for its health.
     :ivar address: ``ip:port`` once started.
     """
 
@@ -46,13 +49,18 @@
         self.pause: timedelta | None = None
         self.started_ms = 1
         self.cold_time = timedelta(0)
+        self.cold_until = 0.0
+        self.question_count = 0
+        self._is_lit = asyncio.Event()
+        self._is_lit.set()
         self.address = ""
+        self._server: web.Server | None = None
         self._runner: web.ServerRunner | None = None
 
     async def start(self) -> None:
         """Listen on a loopback address, after a stop at the same one again."""
-        server = web.Server(self._handle, handler_cancellation=True)
-        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        self._server = web.Server(self._handle, handler_cancellation=True)
+        self._runner = web.ServerRunner(self._server, shutdown_timeout=0.1)
         await self._runner.setup()
         port = int(self.address.rpartition(":")[2] or 0)
         await web.TCPSite(self._runner, "127.0.0.1", port).start()
@@ -65,6 +73,19 @@
             await self._runner.cleanup()
             self._runner = None
 
+    def go_dark(self) -> None:
+        """Answer nothing any more, without closing a connection."""
+        self._is_lit.clear()
+
+    def return_anew(self, cold_time: timedelta) -> None:
+        """Answer again as a new process, which is cold and knows no connection."""
+        self.started_ms += 1
+        self.cold_until = time.monotonic() + cold_time.total_seconds()
+        for connection in self._server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+        self._is_lit.set()
+
     def make_entry(self, lifecycle: str = "ready") -> dict[str, object]:
         """Return the entry that the store holds of this upstream.
 
@@ -83,6 +104,9 @@
         }
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        await self._is_lit.wait()
+        if request.path == HEALTH_PATH:
+            return self._answer_health()
         request_id = request.headers.get("X-Request-Id", "")
         if request.headers.get("X-Expect-Instance") != self.instance_id:
             self.refused_count += 1
@@ -104,3 +128,11 @@
             **notice,
         }
         return web.Response(body=record, headers=headers)
+
+    def _answer_health(self) -> web.Response:
+        self.question_count += 1
+        headers = {"X-Instance-Id": self.instance_id}
+        left_ms = int((self.cold_until - time.monotonic()) * 1000)
+        if left_ms > 0:
+            headers["X-Warmup-Ms"] = str(left_ms)
+        return web.Response(headers=headers)
--- a/tests/core/test_forwarding_state.py
+++ b/tests/core/test_forwarding_state.py
@@ -48,7 +48,7 @@
     def test_lapsed_entry_that_comes_back_is_kept(self):
         """Guards against dropping a live upstream after an outage."""
         self.registry.mark_source_lost()
-        self.registry.mark_source_back(NOW)
+        self.registry.mark_source_read(NOW)
         self.registry.remove("s0-a", NOW)
         self.registry.put(make_upstream("s0", "a"), NOW + timedelta(seconds=1))
         later = NOW + SOURCE_BACK_GRACE
@@ -59,7 +59,7 @@
         """Guards against keeping a stopped upstream after an outage."""
         self.registry.mark_source_lost()
         self.registry.remove("s0-a", NOW)
-        self.registry.mark_source_back(NOW)
+        self.registry.mark_source_read(NOW)
         early = NOW + SOURCE_BACK_GRACE - timedelta(milliseconds=1)
         self.assertEqual(self.registry.drop_missing(early), [])
         self.assertEqual(self.registry.drop_missing(NOW + SOURCE_BACK_GRACE), ["s0-a"])
--- a/tests/core/test_notices.py
+++ b/tests/core/test_notices.py
@@ -19,7 +19,7 @@
 )
 from celeryferry_core.forwarding.outcomes import Merged, RefusalReason
 from celeryferry_core.forwarding.registry import UpstreamRegistry
-from celeryferry_core.forwarding.selection import UpstreamSelector
+from celeryferry_core.forwarding.selection import COLD_REASON, UpstreamSelector
 from tests.core.forwarding_harness import (
     FixedSenders,
     ForwardingHarness,
@@ -124,6 +124,18 @@
         harness.context.selector.notices.record_leaving("orders-a", 0, is_own=True)
         self.assertFalse(harness.session.may_send(0, harness.now))
 
+    def test_attempt_that_waits_is_not_sent_to_an_upstream_found_cold(self):
+        """Guards against requests that were selected before the upstream said so."""
+        harness = ForwardingHarness(domains="a")
+        harness.run(make_single_rule())
+        now = harness.now
+        self.assertTrue(harness.session.may_send(0, now))
+        harness.context.selector.restarts.record_cold("orders-a", SECOND, now)
+        self.assertFalse(harness.session.may_send(0, now))
+        self.assertTrue(harness.session.may_send(0, now + SECOND))
+        harness.session.attempts[0].reason = COLD_REASON
+        self.assertTrue(harness.session.may_send(0, now), "within the cold limit")
+
 
 class TestPauses(unittest.TestCase):
     """Guards against requests for an upstream that has asked for a pause.
--- a/tests/daemon/test_platform.py
+++ b/tests/daemon/test_platform.py
@@ -6,6 +6,7 @@
 import unittest
 from datetime import timedelta
 
+import msgspec
 from aiohttp import web
 
 from celeryferry_core.forwarding.models import Sharded, Weighted
@@ -23,6 +24,7 @@
     UnknownResult,
     UpstreamResponse,
 )
+from celeryferry_core.forwarding.processes import Cold, Undecided, Unstated, Warm
 from celeryferry_daemon._internal.clock import SystemClock
 from celeryferry_daemon._internal.forwarding.connection import RawResponse
 from celeryferry_daemon._internal.forwarding.follower import MIN_RETRY_DELAY
@@ -267,6 +269,66 @@
         self.assertIsNone(wire.read_load(respond(x_server_load="busy")))
 
 
+class TestHealthMessages(unittest.TestCase):
+    """Guards against misreading whether an upstream is cold.
+
+    One that is taken for warm gets the full load and falls over.
+    """
+
+    UPSTREAM = make_upstream("s0", "a")
+
+    def read(self, status: int, *headers: tuple[str, str]):
+        """Return what a response to the health check says."""
+        response = RawResponse(status, headers, b"", True)
+        return wire.read_health(self.UPSTREAM, response)
+
+    def test_request_names_path_and_host_only(self):
+        """Guards against a health check with the headers of a caller's request."""
+        request = wire.make_health_request(self.UPSTREAM, "/healthz")
+        self.assertEqual(
+            request, b"GET /healthz HTTP/1.1\r\nHost: 127.0.0.1:9000\r\n\r\n"
+        )
+
+    def test_time_left_is_read(self):
+        """Guards against a cold upstream that counts as warm."""
+        own_id = ("x-instance-id", "s0-a")
+        for status in (200, 503):
+            cold = self.read(status, own_id, ("x-warmup-ms", "1500"))
+            self.assertEqual(cold, Cold(timedelta(seconds=1.5)))
+            self.assertEqual(self.read(status, own_id), Warm())
+            self.assertEqual(self.read(status, own_id, ("x-warmup-ms", "0")), Warm())
+
+    def test_refusal_and_another_instance_say_nothing(self):
+        """Guards against a full upstream, or another one, that counts as warm."""
+        self.assertEqual(self.read(503, ("x-not-executed", "1")), Undecided())
+        self.assertEqual(self.read(200, ("x-instance-id", "s0-b")), Undecided())
+
+    def test_anything_else_states_nothing(self):
+        """Guards against reading warmth from an unknown answer."""
+        self.assertEqual(self.read(404), Unstated())
+        for stated in ("", "-1", "nan", "1e9", "9" * 12):
+            with self.subTest(stated):
+                self.assertEqual(self.read(200, ("x-warmup-ms", stated)), Unstated())
+
+    def test_health_path_of_the_configuration(self):
+        """Guards against a path that ends the request line or the configuration."""
+        for stated, expected in (
+            ("/healthz", "/healthz"),
+            (None, ""),
+            ("healthz", ""),
+            ("/a b", ""),
+            ("/a\r\nX: y", ""),
+        ):
+            document = {
+                "version": 1,
+                "routes": [],
+                "backends": [{"name": "s0", "health_check": stated}],
+            }
+            decoded = decode_configuration(msgspec.json.encode(document)).unwrap()
+            with self.subTest(stated):
+                self.assertEqual(decoded.services["s0"].health_path, expected)
+
+
 class TestCallerMessages(unittest.TestCase):
     """Guards against telling a caller something wrong about its request.
 
--- a/tests/daemon/test_restart_reports.py
+++ b/tests/daemon/test_restart_reports.py
@@ -8,6 +8,8 @@
 
 from celeryferry_core.forwarding.hosts import HostInfo
 from celeryferry_core.forwarding.models import ForwardingConfiguration, ServiceBounds
+from celeryferry_core.forwarding.processes import Cold, Undecided, Unstated, Warm
+from celeryferry_core.forwarding.restarts import REPORT_DELAY
 from celeryferry_daemon._internal.clock import SystemClock
 from celeryferry_daemon._internal.forwarding.link_messages import ENCODER
 from celeryferry_daemon._internal.forwarding.pool import UpstreamPool
@@ -106,6 +108,33 @@
         self.assertTrue(self.is_cold())
         self.assertFalse(self.is_cold(COLD_TIME))
 
+    def state_warmup(self, statement) -> bool:
+        """Record a statement; returns whether it settles the question."""
+        return self.state.record_statement(UPSTREAM, statement, NOW)
+
+    def test_upstream_that_says_so_is_cold(self):
+        """Guards against another time than the upstream itself states."""
+        self.assertTrue(self.state_warmup(Cold(COLD_TIME / 2)))
+        self.assertTrue(self.is_cold())
+        self.assertFalse(self.is_cold(COLD_TIME / 2))
+        reported = self.state.restarts.update(NOW + REPORT_DELAY)
+        self.assertEqual([each for each, _ in reported], ["s0-a"], "told to others")
+
+    def test_upstream_that_says_that_it_is_warm_is_used(self):
+        """Guards against losing an upstream whose connection was lost by chance."""
+        self.assertTrue(self.state_warmup(Warm()))
+        self.assertFalse(self.is_cold())
+
+    def test_upstream_that_says_nothing_of_it_is_taken_for_cold(self):
+        """Guards against the full load for a process that can't be asked."""
+        self.assertTrue(self.state_warmup(Unstated()))
+        self.assertTrue(self.is_cold(COLD_TIME * 0.9))
+        self.assertFalse(self.is_cold(COLD_TIME))
+
+    def test_upstream_that_could_not_answer_is_asked_again(self):
+        """Guards against a refusal that counts as an answer."""
+        self.assertFalse(self.state_warmup(Undecided()))
+
     def test_own_report_is_ignored(self):
         """Guards against a host that prolongs what it has seen itself."""
         info = make_info("host-1", "a", restarted=(("s0-a", 2_000),))
--- a/tests/system/platform_case.py
+++ b/tests/system/platform_case.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from celeryferry_standins.platform.fleet import PlatformFleet
+from celeryferry_standins.platform.upstream import HEALTH_PATH
 from celeryferry_standins.processes import StartError, wait_until
 
 SHARDS = ("s0", "s1", "s2", "s3")
@@ -40,7 +41,15 @@
 def make_configuration(version: int, *routes: dict) -> dict:
     """Return a configuration as operators publish it."""
     names = (*SHARDS, "orders")
-    backends = [{"name": name, "max_conns": 80, "warmup_per_s": 0.0} for name in names]
+    backends = [
+        {
+            "name": name,
+            "max_conns": 80,
+            "warmup_per_s": 0.0,
+            "health_check": HEALTH_PATH,
+        }
+        for name in names
+    ]
     return {"version": version, "routes": list(routes), "backends": backends}
 
 
--- a/tests/system/test_cold_returns.py
+++ b/tests/system/test_cold_returns.py
@@ -13,6 +13,7 @@
 COLD_REQUESTS_PER_S = 20
 SEND_INTERVAL = timedelta(milliseconds=10)
 DOWN_TIME = timedelta(milliseconds=700)
+DARK_TIME = timedelta(seconds=1)
 
 
 class TestColdReturn(PlatformTestCase):
@@ -67,6 +68,7 @@
         await self.send_for(DOWN_TIME, [host])
         await upstream.start()
         returned_at = time.monotonic()
+        upstream.cold_until = returned_at + COLD_TIME.total_seconds()
         await self.send_for(COLD_TIME, [host])
         most = self.count_most_in_a_second(upstream, returned_at)
         self.assertLessEqual(most, COLD_REQUESTS_PER_S)
@@ -75,6 +77,30 @@
         later = sum(at > warm_at for _, at in upstream.arrivals)
         self.assertGreater(later, COLD_REQUESTS_PER_S, "it is used again")
 
+    async def test_dark_return_during_an_outage_of_the_store(self):
+        """Guards against the full load for upstreams that fell silent and returned.
+
+        They refuse no connection, so only they themselves can tell that they are cold.
+        """
+        upstreams = self.list_orders_upstreams()
+        await self.send_for(DOWN_TIME, self.fleet.hosts)
+        await self.fleet.store.go_down()
+        for upstream in upstreams:
+            upstream.go_dark()
+        load = asyncio.create_task(
+            self.send_for(DARK_TIME + COLD_TIME * 2, self.fleet.hosts)
+        )
+        await asyncio.sleep(DARK_TIME.total_seconds())
+        returned_at = time.monotonic()
+        for upstream in upstreams:
+            upstream.return_anew(COLD_TIME)
+        await load
+        most = [self.count_most_in_a_second(each, returned_at) for each in upstreams]
+        self.assertLessEqual(max(most), COLD_REQUESTS_PER_S)
+        warm_at = returned_at + COLD_TIME.total_seconds()
+        later = [sum(at > warm_at for _, at in each.arrivals) for each in upstreams]
+        self.assertGreater(sum(later), 3 * COLD_REQUESTS_PER_S, "they are used again")
+
     async def test_start_of_all_hosts_while_all_upstreams_are_cold(self):
         """Guards against hosts that each take themselves for the only sender."""
         for host in self.fleet.hosts:
