Take answers whose first line HTTP does not allow as broken at once

Here callers of such a replica waited until their deadline and got 504; statuses from 600 to 999 reached them as answers.

Cause: httptools accepts any three digits and the versions 0.9 and 2.0. A status below 200 counted as interim, also one below 100; one from 600 on was a failure of the upstream that is passed on. Answers of seeds were used whatever their status, answers of the store whatever their version.

Ruled out: 000 as a final answer, since it was never one; refusing all that the grammar forbids: a missing space before an empty reason phrase and empty lines before the status line are unambiguous.

Change: the connection to an upstream gives a response up as soon as its first line shows that it is none, which counts as a broken answer: a request that may be repeated goes elsewhere, another gets 502 at once. The store and the seeds need status 200 and HTTP/1.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/bodies.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/bodies.py
@@ -9,6 +9,8 @@
 # because a decompressed response could exceed the size limit.
 SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
 
+OK_STATUS = 200
+
 
 class TrackedBody(aiohttp.BytesPayload):
     """JSON request body that records whether aiohttp began to send the request.
@@ -35,6 +37,16 @@
         await super().write_with_length(writer, content_length)
 
 
+def is_answer(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a response is a successful one of HTTP/1.
+
+    aiohttp also accepts other versions, and statuses that HTTP does not allow.
+    """
+    version = response.version
+    is_known_version = version in (aiohttp.HttpVersion10, aiohttp.HttpVersion11)
+    return is_known_version and response.status == OK_STATUS
+
+
 class BodyTooLargeError(CeleryferryError, ValueError):
     """The body of a response is larger than its reader accepts."""
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/connection.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/connection.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import re
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -32,6 +33,12 @@
 TCP_USER_TIMEOUT_OPTION = 18
 # Responses below this status are interim (1xx).
 FIRST_FINAL_STATUS = 200
+# Statuses that HTTP allows, except 101, for which no request here asks.
+ALLOWED_STATUSES = frozenset(range(100, 600)) - {101}
+ALLOWED_VERSIONS = ("1.0", "1.1")
+# The parser also reads responses of RTSP.
+PROTOCOL_NAME = b"HTTP/"
+_CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 
 class RawResponse(msgspec.Struct, frozen=True, gc=False):
@@ -228,6 +235,11 @@
             self.close()
             return
         self.heard_at = self._clock.monotonic()
+        # The parser tells no offsets, so only the first response is checked for this.
+        start = data.lstrip(b"\r\n")[: len(PROTOCOL_NAME)]
+        if self._exchange_bytes == 0 and not PROTOCOL_NAME.startswith(start):
+            self._finish_malformed()
+            return
         self._exchange_bytes += len(data)
         self._received.add(self, len(data))
         if self._is_done():
@@ -264,6 +276,11 @@
         self._reset_message()
         self._is_head_open = True
 
+    def on_status(self, reason: bytes) -> None:
+        """Check a part of the reason phrase (called by httptools)."""
+        if _CONTROL_CHARACTER.search(reason):
+            self._finish_malformed()
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header (called by httptools)."""
         self._headers.append(
@@ -271,8 +288,17 @@
         )
 
     def on_headers_complete(self) -> None:
-        """Record whether the head states a length (called by httptools)."""
+        """Check the status and whether a length is stated (called by httptools)."""
         self._is_head_open = False
+        parser = self._parser
+        if parser is None or self._is_done():
+            return
+        if (
+            parser.get_status_code() not in ALLOWED_STATUSES
+            or parser.get_http_version() not in ALLOWED_VERSIONS
+        ):
+            self._finish_malformed()
+            return
         self._is_message_open = True
         names = {name for name, _ in self._headers}
         self._has_length = bool(names & {"content-length", "transfer-encoding"})
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/connector.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/connector.py
@@ -9,7 +9,7 @@
 
 from celeryferry_core.addresses import is_address
 from celeryferry_core.forwarding.hosts import HostInfo
-from celeryferry_daemon._internal.bodies import read_bounded
+from celeryferry_daemon._internal.bodies import is_answer, read_bounded
 from celeryferry_daemon._internal.forwarding.link_messages import (
     ANSWER_DECODER,
     ENCODER,
@@ -131,6 +131,8 @@
             async with self._session.post(
                 f"http://{address}{SEED_PATH}", data=question, timeout=timeout
             ) as response:
+                if not is_answer(response):
+                    return ()
                 content = await read_bounded(response, MAX_SEED_ANSWER_BYTES)
         except _UNREACHABLE_ERRORS:
             return ()
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/store.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/store.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from celeryferry_core.decoding import JsonDecoder
-from celeryferry_daemon._internal.bodies import read_bounded
+from celeryferry_daemon._internal.bodies import is_answer, read_bounded
 from celeryferry_daemon._internal.forwarding.ports import (
     HistoryGoneError,
     SourceChanges,
@@ -34,7 +34,6 @@
 # The platform limits a page to about 1 MB of values, which base64 makes a third larger.
 MAX_BODY_BYTES = 8 * 1_048_576
 HISTORY_GONE_STATUS = 410
-OK_STATUS = 200
 
 
 _Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
@@ -166,7 +165,7 @@
                 self._url + path, params=params, timeout=client_timeout
             ) as response:
                 body = await read_bounded(response, MAX_BODY_BYTES)
-                status = response.status
+                status, is_usable = response.status, is_answer(response)
         except (
             TimeoutError,
             aiohttp.ClientError,
@@ -180,7 +179,7 @@
                     f"{path}: the changes after this revision are no longer available"
                 )
             )
-        if status != OK_STATUS:
+        if not is_usable:
             return Err(SourceUnavailableError(f"{path}: status {status}"))
         match decoder.decode(body):
             case Ok(message):
