Read notices in the answers to questions as in any other answer

A question is a health check, and its answer may say that the upstream leaves (Server-Leaving) or wants a pause (503 with Retry-After). Found by reading the change, not by a run.

Ruled out: taking a notice from another instance at the address; its answer has a statement of its own now, OtherInstance, and says nothing of the upstream.

Three tests in tests.daemon.test_restart_reports; without the change two of them fail (the pause and the leaving), the one of another instance passes.

--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/processes.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/processes.py
@@ -58,14 +58,18 @@
 
 
 class Undecided(msgspec.Struct, frozen=True, gc=False):
-    """An upstream could not answer the question now, or another one answered."""
+    """An upstream could not answer the question now."""
+
+
+class OtherInstance(msgspec.Struct, frozen=True, gc=False):
+    """Another instance has answered at the address of an upstream."""
 
 
 class Unstated(msgspec.Struct, frozen=True, gc=False):
     """An upstream does not say whether it is cold."""
 
 
-WarmupStatement = Warm | Cold | Undecided | Unstated
+WarmupStatement = Warm | Cold | Undecided | OtherInstance | Unstated
 
 
 def describe_statement(statement: WarmupStatement) -> str:
@@ -77,6 +81,8 @@
             return "cold"
         case Undecided():
             return "undecided"
+        case OtherInstance():
+            return "other_instance"
         case Unstated():
             return "unstated"
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/health_inquiry.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/health_inquiry.py
@@ -4,6 +4,7 @@
 from celeryferry_core.forwarding.models import Upstream
 from celeryferry_core.forwarding.processes import (
     DoubtCause,
+    OtherInstance,
     Unstated,
     WarmupStatement,
 )
@@ -59,8 +60,16 @@
         return self._wire.make_health_request(upstream, path)
 
     def record_answer(self, upstream: Upstream, response: RawResponse) -> bool:
-        """Record what a response to the question says."""
-        return self._record(upstream, self._wire.read_health(upstream, response))
+        """Record what a response to the question says.
+
+        Like any other response it may also say that the upstream leaves, or that it
+        wants a pause.
+        """
+        statement = self._wire.read_health(upstream, response)
+        notice = self._wire.read_notice(response)
+        if notice is not None and not isinstance(statement, OtherInstance):
+            self._state.record_notice(upstream, notice, self._clock.monotonic())
+        return self._record(upstream, statement)
 
     def record_unanswerable(self, upstream: Upstream) -> None:
         """Take the process at the other end for a new one."""
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
@@ -14,6 +14,7 @@
 from celeryferry_core.forwarding.notices import UpstreamNotice, UpstreamNotices
 from celeryferry_core.forwarding.processes import (
     Cold,
+    OtherInstance,
     Undecided,
     Unstated,
     Warm,
@@ -242,7 +243,7 @@
         :returns: whether this settles the question.
         """
         match statement:
-            case Undecided():
+            case Undecided() | OtherInstance():
                 return False
             case Warm():
                 time_left = timedelta(0)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/wire.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/wire.py
@@ -25,6 +25,7 @@
 )
 from celeryferry_core.forwarding.processes import (
     Cold,
+    OtherInstance,
     Undecided,
     Unstated,
     Warm,
@@ -215,7 +216,7 @@
     """
     instance_id = response.get_header(INSTANCE_HEADER)
     if instance_id not in (None, upstream.instance_id):
-        return Undecided()
+        return OtherInstance()
     if response.status == _UNAVAILABLE_STATUS and instance_id is None:
         return Undecided()
     if response.status not in (_OK_STATUS, _UNAVAILABLE_STATUS):
--- a/tests/daemon/test_platform.py
+++ b/tests/daemon/test_platform.py
@@ -24,7 +24,13 @@
     UnknownResult,
     UpstreamResponse,
 )
-from celeryferry_core.forwarding.processes import Cold, Undecided, Unstated, Warm
+from celeryferry_core.forwarding.processes import (
+    Cold,
+    OtherInstance,
+    Undecided,
+    Unstated,
+    Warm,
+)
 from celeryferry_daemon._internal.clock import SystemClock
 from celeryferry_daemon._internal.forwarding.connection import RawResponse
 from celeryferry_daemon._internal.forwarding.follower import MIN_RETRY_DELAY
@@ -301,7 +307,7 @@
     def test_refusal_and_another_instance_say_nothing(self):
         """Guards against a full upstream, or another one, that counts as warm."""
         self.assertEqual(self.read(503, ("x-not-executed", "1")), Undecided())
-        self.assertEqual(self.read(200, ("x-instance-id", "s0-b")), Undecided())
+        self.assertEqual(self.read(200, ("x-instance-id", "s0-b")), OtherInstance())
 
     def test_anything_else_states_nothing(self):
         """Guards against reading warmth from an unknown answer."""
--- a/tests/daemon/test_restart_reports.py
+++ b/tests/daemon/test_restart_reports.py
@@ -3,15 +3,26 @@
 import random
 import unittest
 from datetime import timedelta
+from types import SimpleNamespace
 
 import msgspec
+from aioprometheus import Registry
 
 from celeryferry_core.forwarding.hosts import HostInfo
 from celeryferry_core.forwarding.models import ForwardingConfiguration, ServiceBounds
-from celeryferry_core.forwarding.processes import Cold, Undecided, Unstated, Warm
+from celeryferry_core.forwarding.processes import (
+    Cold,
+    OtherInstance,
+    Undecided,
+    Unstated,
+    Warm,
+)
 from celeryferry_core.forwarding.restarts import REPORT_DELAY
 from celeryferry_daemon._internal.clock import SystemClock
+from celeryferry_daemon._internal.forwarding.connection import RawResponse
+from celeryferry_daemon._internal.forwarding.health_inquiry import HealthInquiry
 from celeryferry_daemon._internal.forwarding.link_messages import ENCODER
+from celeryferry_daemon._internal.forwarding.metrics import UpstreamMetrics
 from celeryferry_daemon._internal.forwarding.pool import UpstreamPool
 from celeryferry_daemon._internal.forwarding.ports import (
     ConfigurationPublished,
@@ -19,6 +30,7 @@
     UpstreamUnlisted,
 )
 from celeryferry_daemon._internal.forwarding.state import HostState
+from celeryferry_daemon.platform import wire
 from celeryferry_standins.fleet_simulation import make_info
 from tests.core.forwarding_harness import make_upstream
 from tests.daemon.test_forwarding_sources import RecordingLog, make_settings
@@ -133,7 +145,32 @@
 
     def test_upstream_that_could_not_answer_is_asked_again(self):
         """Guards against a refusal that counts as an answer."""
-        self.assertFalse(self.state_warmup(Undecided()))
+        for statement in (Undecided(), OtherInstance()):
+            with self.subTest(statement):
+                self.assertFalse(self.state_warmup(statement))
+
+    def answer_question(self, status: int, *headers: tuple[str, str]) -> None:
+        """Give the state the answer to a question."""
+        metrics = UpstreamMetrics(Registry())
+        clock = SimpleNamespace(monotonic=lambda: NOW)
+        inquiry = HealthInquiry(self.state, wire, clock, self.log, metrics)
+        inquiry.record_answer(UPSTREAM, RawResponse(status, headers, b"", True))
+
+    def test_answer_to_a_question_may_say_that_the_upstream_leaves(self):
+        """Guards against requests for an upstream that said so in its health check."""
+        self.answer_question(200, ("server-leaving", "1"))
+        self.assertFalse(self.selector.may_use(UPSTREAM, NOW))
+
+    def test_answer_to_a_question_may_ask_for_a_pause(self):
+        """Guards against further questions and requests in the pause."""
+        self.answer_question(503, ("retry-after", "5"))
+        self.assertFalse(self.selector.may_use(UPSTREAM, NOW))
+
+    def test_answer_of_another_instance_says_nothing(self):
+        """Guards against losing an upstream by the word of another one."""
+        leaving = ("server-leaving", "1")
+        self.answer_question(200, leaving, ("x-instance-id", "other"))
+        self.assertTrue(self.selector.may_use(UPSTREAM, NOW))
 
     def test_own_report_is_ignored(self):
         """Guards against a host that prolongs what it has seen itself."""
