Import the idle times of connections from their module in a test

Seen in two runs of tests.daemon (328 passed, 1 failed: the import). With the change the module passes (14), and every module under tests imports.

--- a/tests/daemon/test_hostile_decoders.py
+++ b/tests/daemon/test_hostile_decoders.py
@@ -15,16 +15,16 @@
 from celeryferry_core.partial_answers import decode_hits
 from celeryferry_daemon._internal.forwarding.connection import RawResponse
 from celeryferry_daemon._internal.forwarding.follower import SourceFollower
+from celeryferry_daemon._internal.forwarding.keep_alive import (
+    MAX_IDLE_TIME,
+    compute_max_idle_time,
+)
 from celeryferry_daemon._internal.forwarding.link_messages import (
     ANSWER_DECODER,
     LINK_DECODER,
     QUESTION_DECODER,
 )
-from celeryferry_daemon._internal.forwarding.pool import (
-    MAX_IDLE_TIME,
-    UpstreamPool,
-    compute_max_idle_time,
-)
+from celeryferry_daemon._internal.forwarding.pool import UpstreamPool
 from celeryferry_daemon._internal.forwarding.ports import (
     SourceChanges,
     SourceItem,
