Answer requests that were read behind a running one on a stopping host

A caller that sends its next request before it has the last response lost it on a stopping host: the request was read and waited, and was dropped when the response to the first one closed the connection, longer than 200 ms after it was sent (rule LOST for a request that was read whole).

Cause: each response of a stopping host closed its connection.

Ruled out: not reading while a request runs: bytes that are not read reset the connection when it closes, which can destroy the response under way.

Change: the listener closes a connection after the last request that was read on it. The end of reading leaves queued requests to be handled too, and drops what a resumed transport still delivers.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
@@ -242,6 +242,7 @@
         schedule = DrainSchedule(now, self.settings.stop_time)
         self._log.write("stopping", running_count=self._callers.running_count)
         self._callers.begin_drain(schedule)
+        self._callers_server.begin_drain()
         self._peers.announce_leaving()
         await asyncio.sleep((schedule.listeners_close_at - now).total_seconds())
         for runner in self._runners:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/callers.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/callers.py
@@ -100,9 +100,8 @@
     def begin_drain(self, schedule: DrainSchedule) -> None:
         """Prepare for the end of the process.
 
-        From now on, each connection is closed after its next response, requests that
-        can't be answered in time are refused, and the running ones end in time, also
-        those whose body is still arriving.
+        From now on, requests that can't be answered in time are refused, and the
+        running ones end in time, also those whose body is still arriving.
         """
         self._drain_schedule = schedule
         for runner in self._runners:
@@ -279,14 +278,11 @@
         )
 
     def _respond(self, caller_response: CallerResponse) -> web.Response:
-        response = web.Response(
+        return web.Response(
             status=caller_response.status,
             headers=CIMultiDict(caller_response.headers),
             body=caller_response.body,
         )
-        if self._drain_schedule is not None:
-            response.force_close()
-        return response
 
 
 def describe_result(result: RequestResult) -> str:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/listener.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/listener.py
@@ -45,6 +45,7 @@
         self._callers_handler = handler
         self._state = state
         self._max_connections = compute_max_connections(max_descriptors)
+        self._is_draining = False
 
     def read_bounds(self) -> CallerBounds:
         """Return the limits on callers in the configuration in force."""
@@ -74,6 +75,10 @@
         """Return how many connections have a request or unsent bytes of a response."""
         return sum(connection.is_unanswered for connection in self.connections)
 
+    def begin_drain(self) -> None:
+        """From now on, close each connection after the last request read on it."""
+        self._is_draining = True
+
     def end_reading(self) -> None:
         """Read nothing more from callers; connections without a request close."""
         for connection in self.connections:
@@ -102,7 +107,11 @@
         assert isinstance(connection, HeadTimeoutHandler)
         connection.start_request(request)
         try:
-            return await self._callers_handler.handle(request, self.read_bounds())
+            response = await self._callers_handler.handle(request, self.read_bounds())
+            # A request that was read behind this one needs its response, too.
+            if self._is_draining and not connection.has_queued_request:
+                response.force_close()
+            return response
         finally:
             connection.end_request()
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/request_heads.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/request_heads.py
@@ -34,6 +34,7 @@
         "_head_checks",
         "_is_answered",
         "_is_busy",
+        "_is_reading",
         "_on_connected",
         "_starts_timeout_on_connect",
     )
@@ -57,6 +58,7 @@
         self._head_checks: int | None = 0 if self._starts_timeout_on_connect else None
         self._is_busy = False
         self._is_answered = True
+        self._is_reading = True
         super().connection_made(transport)
         self._on_connected(self)
 
@@ -66,6 +68,9 @@
         :param data: bytes of a head or a body; empty when aiohttp calls this method to
             resume reading.
         """
+        if data and not self._is_reading:
+            # aiohttp may resume a paused transport.
+            return
         if data and self._head_checks is None and self._is_body_complete():
             self._head_checks = 0
         super().data_received(data)
@@ -108,25 +113,28 @@
             return False
         is_arriving = self._head_checks is not None
         has_unsent_bytes = transport.get_write_buffer_size() > 0
-        return is_arriving or self._has_request() or has_unsent_bytes
+        has_request = not self._is_answered or self.has_queued_request
+        return is_arriving or has_request or has_unsent_bytes
 
-    def _has_request(self) -> bool:
-        """Return whether a complete request head waits for its response."""
-        return not self._is_answered or bool(self._messages)
+    @property
+    def has_queued_request(self) -> bool:
+        """Whether a complete request waits behind the one that is being handled."""
+        return bool(self._messages)
 
     def end_reading(self) -> None:
         """Read nothing more from the caller.
 
         Without a request the connection closes now. Bytes that arrive later are not
-        read, so the caller knows that its next request was not run. With a request it
-        closes after the response.
+        read, so the caller knows that its next request was not run. Requests that were
+        read before are still handled.
         """
-        self.close()
+        self._is_reading = False
         if self.transport is None:
             return
-        if self._has_request():
+        if not self._is_answered or self.has_queued_request:
             self.transport.pause_reading()
         else:
+            self.close()
             self.transport.close()
 
     def check_head(self) -> None:
--- a/tests/daemon/test_callers_listener.py
+++ b/tests/daemon/test_callers_listener.py
@@ -299,6 +299,24 @@
         self.server.end_reading()
         self.assertTrue((await self.read_response()).endswith(b"2"))
 
+    async def test_requests_behind_a_running_one_are_answered(self):
+        """Guards against requests that were read and end with a closed connection.
+
+        A caller may send the next request before it has the response to the last one.
+        """
+        self.server.begin_drain()
+        self.writer.write(2 * self.REQUEST)
+        await self.wait_for_request()
+        (connection,) = self.server.connections
+        connection.data_received(self.REQUEST)
+        self.server.end_reading()
+        connection.data_received(self.REQUEST)
+        self.handler.may_answer.set()
+        received = await self.read_response()
+        self.assertEqual(received.count(b"HTTP/1.1 200 "), 3)
+        self.assertEqual(received.lower().count(b"connection: close"), 1)
+        self.assertTrue(received.endswith(b"3"))
+
     async def test_head_that_has_begun_counts(self):
         """Guards against an exit while the rest of a request is on its way."""
         await self.use_connection()
--- a/tests/daemon/test_end_of_stop.py
+++ b/tests/daemon/test_end_of_stop.py
@@ -23,6 +23,9 @@
 # Time that the last task of the daemon takes to end. On a slow machine it takes about
 # as long without this.
 SLOW_END = timedelta(milliseconds=300)
+# Longer than the users' rules let a request that was read wait for nothing (200 ms).
+WORK_TIME = timedelta(milliseconds=300)
+DEADLINE_MS = 800
 
 
 class QuietLog(RecordingLog):
@@ -86,11 +89,13 @@
         await reader.readexactly(RECORD_BYTES)
         return reader, writer
 
-    def send(self, writer: asyncio.StreamWriter, request_id: str) -> None:
-        """Send an order that is quick enough to be admitted late."""
+    def send(
+        self, writer: asyncio.StreamWriter, request_id: str, deadline_ms: int = 50
+    ) -> None:
+        """Send an order, one that is quick enough to be admitted late by default."""
         writer.write(
             f"POST {ORDER['path_prefix']}1 HTTP/1.1\r\nHost: {ORDER['host']}\r\n"
-            f"X-Request-Id: {request_id}\r\nX-Deadline-Ms: 50\r\n"
+            f"X-Request-Id: {request_id}\r\nX-Deadline-Ms: {deadline_ms}\r\n"
             "Content-Length: 0\r\n\r\n".encode()
         )
 
@@ -121,6 +126,17 @@
         await asyncio.wait_for(self.run_task, TEST_TIMEOUT.total_seconds())
         self.assertEqual([name for name, _ in self.upstream.arrivals], ["first"])
 
+    async def test_order_behind_a_running_one_is_answered(self):
+        """Guards against an order that was read and ends with a closed connection."""
+        reader, writer = await self.connect()
+        self.upstream.work_time = WORK_TIME
+        self.daemon._stop_requested.set()
+        self.send(writer, "running", DEADLINE_MS)
+        self.send(writer, "behind", DEADLINE_MS)
+        received = await asyncio.wait_for(reader.read(), TEST_TIMEOUT.total_seconds())
+        self.assertEqual(received.count(b"HTTP/1.1 200 "), 2, received)
+        await asyncio.wait_for(self.run_task, TEST_TIMEOUT.total_seconds())
+
     async def test_exit_waits_for_a_body_only_until_results_are_due(self):
         """Guards against a caller that stops in a body and gets no answer."""
         reader, writer = await self.connect()
