--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/request_heads.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/request_heads.py
@@ -119,6 +119,7 @@
     @property
     def has_queued_request(self) -> bool:
         """Whether a complete request waits behind the one that is being handled."""
+        # The queue of aiohttp's handler.
         return bool(self._messages)
 
     def end_reading(self) -> None:
