--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""Power loss of the other machines of a zone, then a new configuration."""
+"""The operator raises a limit; kept connections go on with the former one."""
 
 import asyncio
 import sys
@@ -6,98 +6,119 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-sys.path[:0] = [str(HERE.parent / "standins-3"), str(HERE.parents[1] / "target/deps")]
+sys.path.insert(0, str(HERE.parent / "standins-3"))
 
 import fleet  # noqa: E402
-import xxhash  # noqa: E402
 
 CONFIG_APPLY_S = fleet.PARAMETERS["config_apply_ms"] / 1000
-ZONE = "agadir-a"
-# Machines of the site with the two spares of one zone.
-HOST_COUNTS = {ZONE: 9, "taroudant-b": 4, "tiznit-c": 4}
-# Time from the loss to the new configuration.
-CHANGE_DELAY_S = 0.05
-# The machines are without power for this time; the case ends with it.
-LOSS_S = 5.0
+HOST_COUNTS = {"agadir-a": 1, "taroudant-b": 1, "tiznit-c": 1}
+CLIENTS_PER_HOST = 6
+FORMER_LIMIT, NEW_LIMIT = 4096, 16384
+# Size of one header of a request: above the former limit, well below the new one.
+COOKIE_BYTES = 6000
+REQUEST_INTERVAL_S = 0.5
 
 
-def rank_relay(host):
-    """Return the number by which the machines of a zone sort themselves."""
-    return xxhash.xxh3_64_intdigest(f"relay\x1f{host.name}".encode())
+class KeptClient:
+    """A client that sends all its requests on one connection."""
 
+    def __init__(self, host, name):
+        self.host = host
+        self.name = name
+        self.count = 0
 
-async def probe(record, host, until, handled):
-    """Send a request every 25 ms; record when it was sent and which service ran it."""
-    number = 0
-    tasks = set()
+    async def connect(self):
+        """Open the connection."""
+        ip, _, port = self.host.addresses["http"].rpartition(":")
+        self.reader, self.writer = await asyncio.open_connection(ip, int(port))
+
+    async def ask(self, cookie_bytes=0):
+        """Send one request and return its id and the status of the answer."""
+        self.count += 1
+        request_id = f"{self.name}-{self.count}"
+        lines = [
+            "GET /read/x HTTP/1.1",
+            "Host: site.example",
+            f"X-Request-Id: {request_id}",
+            "X-Deadline-Ms: 1000",
+        ]
+        if cookie_bytes:
+            lines.append("Cookie: " + "c" * cookie_bytes)
+        self.writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        message = await fleet.read_head(self.reader)
+        if message is None:
+            return request_id, 0
+        first, headers = message
+        length = int(headers.get("content-length", 0))
+        await self.reader.readexactly(length)
+        return request_id, int(first.split(" ")[1])
 
-    async def send(request_id):
-        sent_at = time.monotonic()
-        headers = {
-            "Host": "site.example",
-            "X-Request-Id": request_id,
-            "X-Deadline-Ms": "800",
-        }
-        status, _, body = await fleet.fetch(
-            host.addresses["http"], "/moved/x", headers, timeout_s=0.8
-        )
-        handled.append((sent_at, status, body.decode()))
 
-    while time.monotonic() < until:
-        number += 1
-        task = asyncio.create_task(send(f"p{number}"))
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
-        await asyncio.sleep(0.025)
-    if tasks:
-        await asyncio.wait(tasks)
+def make_configuration(version, header_bytes):
+    """Return a configuration with a limit on the size of a request head."""
+    configuration = fleet.make_configuration(
+        version, {"/read/": {"backend": "reader"}}, {"reader": {}}
+    )
+    configuration["limits"]["max_header_bytes"] = header_bytes
+    return configuration
 
 
 async def case(record):
-    """Return whether the last machine of the zone applied the version in time."""
-    servers = [
-        fleet.Server(f"i-{service}-{zone}", service, zone)
-        for service in ("old", "new")
-        for zone in HOST_COUNTS
-    ]
+    """Return whether proper requests were served under the new limit."""
+    servers = [fleet.Server(f"i-reader-{zone}", "reader", zone) for zone in HOST_COUNTS]
     world = fleet.Fleet(record, HOST_COUNTS, servers)
-    services = {"old": {}, "new": {}}
+    first_limit = FORMER_LIMIT if fleet.is_trouble() else NEW_LIMIT
     try:
-        await world.start(
-            fleet.make_configuration(3, {"/moved/": {"backend": "old"}}, services)
-        )
-        await asyncio.sleep(8)
-        local = sorted(
-            (host for host in world.hosts if host.zone == ZONE), key=rank_relay
-        )
-        *others, last = local
-        record(f"machines of {ZONE} by rank: {[host.name for host in local]}")
-        lost_at = time.monotonic()
+        await world.start(make_configuration(3, first_limit))
+        record(f"version 3: max_header_bytes {first_limit}")
+        await asyncio.sleep(4)
+        clients = [
+            KeptClient(host, f"{host.name}-c{number}")
+            for host in world.hosts
+            for number in range(CLIENTS_PER_HOST)
+        ]
+        for client in clients:
+            await client.connect()
+            record(
+                "small request on a new connection: {} {}".format(*await client.ask())
+            )
         if fleet.is_trouble():
-            for host in others:
-                host.send(fleet.STOP)
-            record(f"power loss of {len(others)} machines of {ZONE}")
-        await asyncio.sleep(CHANGE_DELAY_S)
-        world.store.put(
-            "op/config",
-            fleet.make_configuration(7, {"/moved/": {"backend": "new"}}, services),
-        )
+            world.store.put("op/config", make_configuration(7, NEW_LIMIT))
+            record(f"version 7 acknowledged: max_header_bytes {NEW_LIMIT}")
         acked_at = time.monotonic()
-        record("version 7 acknowledged: /moved/ goes to 'new' instead of 'old'")
-        handled = []
-        await probe(record, last, lost_at + LOSS_S, handled)
-        late = []
-        for sent_at, status, body in sorted(handled):
-            after_s = sent_at - acked_at
-            record(f"{last.name}: sent {after_s:.3f} s after the ack: {status} {body}")
-            if after_s > CONFIG_APPLY_S and body.startswith("i-old"):
-                late.append(after_s)
+        total = len(clients)
+        while time.monotonic() < acked_at + 2 * CONFIG_APPLY_S:
+            await asyncio.sleep(REQUEST_INTERVAL_S)
+            for client in clients:
+                _, status = await client.ask()
+                total += 1
+                if status != 200:
+                    raise ValueError(f"a small request got {status}")
+        refused = 0
+        for client in clients:
+            after_s = time.monotonic() - acked_at
+            request_id, status = await client.ask(COOKIE_BYTES)
+            total += 1
+            refused += 400 <= status < 500
+            record(
+                f"{request_id}: {COOKIE_BYTES} header bytes, sent {after_s:.3f} s after"
+                f" the ack on the kept connection: {status}"
+            )
+        for host in world.hosts:
+            headers = {
+                "Host": "site.example",
+                "X-Request-Id": f"{host.name}-new",
+                "X-Deadline-Ms": "1000",
+                "Cookie": "c" * COOKIE_BYTES,
+            }
+            status, _, _ = await fleet.fetch(host.addresses["http"], "/read/x", headers)
+            record(f"{host.name}-new: the same on a new connection: {status}")
+        allowed = 5 + total / 500
         record.say(
-            f"{last.name} in touch all the while; {len(late)} requests sent later than"
-            f" {CONFIG_APPLY_S} s after the ack were run by the old service"
-            + (f", the last {late[-1]:.3f} s after it" if late else "")
+            f"{refused} of {total} proper requests were ended with a 4xx, all later"
+            f" than {CONFIG_APPLY_S} s after the ack; {allowed:.1f} are allowed"
         )
-        return not late
+        return refused <= allowed
     finally:
         world.stop()
 
--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -143,9 +143,13 @@
 
     def __init__(self):
         self.revision = 1
+        self.era = 1
         self.is_silent = False
+        self.call_count = 0
         self._items = {}
         self._events = []
+        # Changes up to this revision are no longer available to a watch.
+        self._history_after = 0
         self._changed = asyncio.Event()
         self._server = HttpServer(self._handle)
 
@@ -171,6 +175,20 @@
         """Close all connections."""
         self._server.stop()
 
+    def copy(self):
+        """Return what a copy of the store holds."""
+        return self.revision, dict(self._items)
+
+    def restore(self, copy):
+        """Come back from a copy; what was acknowledged since is lost."""
+        self.revision, self._items = copy[0], dict(copy[1])
+        self._events = []
+        self._history_after = self.revision
+        self.era += 1
+        self.is_silent = False
+        for writer in list(self._server.writers):
+            writer.transport.abort()
+
     def put(self, key, value):
         """Write an item; the return is the acknowledgement."""
         self.revision += 1
@@ -198,13 +216,15 @@
     def _publish(self, event):
         now = time.monotonic()
         self._events.append((now, event))
-        self._events = [each for each in self._events if now - each[0] < HISTORY_S]
+        while now - self._events[0][0] >= HISTORY_S:
+            self._history_after = self._events.pop(0)[1]["revision"]
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
     async def _handle(self, method, target, headers, body):
         path, _, query = target.partition("?")
         params = dict(pair.partition("=")[::2] for pair in query.split("&") if pair)
+        self.call_count += 1
         await asyncio.sleep(0.004)
         if self.is_silent:
             await asyncio.sleep(3600)
@@ -213,14 +233,13 @@
             return self._reply({"items": items, "as_of": self.revision})
         if path == "/kv-watch":
             return await self._watch(int(params["after"]), int(params["wait_ms"]))
-        return encode_answer(404, {"Store-Era": "1"}, b"")
+        return encode_answer(404, {"Store-Era": str(self.era)}, b"")
 
     async def _watch(self, after, wait_ms):
         until = time.monotonic() + wait_ms / 1000
         while True:
-            oldest = self._events[0][1]["revision"] if self._events else 0
-            if after > self.revision or (self._events and after + 1 < oldest > 2):
-                return encode_answer(410, {"Store-Era": "1"}, b"")
+            if not self._history_after <= after <= self.revision:
+                return encode_answer(410, {"Store-Era": str(self.era)}, b"")
             events = [each for _, each in self._events if each["revision"] > after]
             left = until - time.monotonic()
             if events or left <= 0:
@@ -235,7 +254,7 @@
         return self._reply({"events": events, "as_of": self.revision})
 
     def _reply(self, message):
-        headers = {"Content-Type": "application/json", "Store-Era": "1"}
+        headers = {"Content-Type": "application/json", "Store-Era": str(self.era)}
         return encode_answer(200, headers, json.dumps(message).encode())
 
 
