Log why a host reads the store and what it drops as old

Gauges show revision, reading, availability, and the time since the contents were last known to be the current ones.

No decision is changed: should_read became find_reading_reason, which returns the same decision with its reason. tests.core.test_reading, test_forwarding_sources, test_sharing, test_peers and test_hostile_decoders: 60 passed.

--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/reading.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/reading.py
@@ -26,6 +26,15 @@
     NO_RELAY = "no_relay"
 
 
+class ReadingReason(StrEnum):
+    """Why a host follows a source by its own calls, as in the log."""
+
+    RELAY = "relay"
+    BEHIND = "behind"
+    RELAYS_UNAVAILABLE = "relays_unavailable"
+    NO_RELAY = "no_relay"
+
+
 @dataclass(frozen=True, slots=True)
 class ReadingInputs:
     """What the decision depends on.
@@ -45,21 +54,23 @@
     behind_for: timedelta = timedelta(0)
 
 
-def should_read(inputs: ReadingInputs) -> bool:
-    """Return whether a host should follow the source by its own calls.
+def find_reading_reason(inputs: ReadingInputs) -> ReadingReason | None:
+    """Return why a host should follow the source by its own calls, None if not.
 
     At its start, each host reads the contents once in any case, so that it can serve
     before it has found its relays.
     """
     if inputs.behind_for >= MAX_BEHIND_TIME:
-        return True
+        return ReadingReason.BEHIND
     if inputs.is_relay:
-        return True
+        return ReadingReason.RELAY
     match inputs.report:
         case RelayReport.AVAILABLE:
-            return False
+            return None
         case RelayReport.UNAVAILABLE:
-            return inputs.rank < RELAY_COUNT + EXTRA_READER_COUNT
+            is_candidate = inputs.rank < RELAY_COUNT + EXTRA_READER_COUNT
+            return ReadingReason.RELAYS_UNAVAILABLE if is_candidate else None
         case RelayReport.NO_RELAY:
             stagger = STAGGER_TIME * min(inputs.rank, MAX_STAGGER_COUNT)
-            return inputs.report_age >= ISOLATION_TIME + stagger
+            is_isolated = inputs.report_age >= ISOLATION_TIME + stagger
+            return ReadingReason.NO_RELAY if is_isolated else None
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
@@ -28,6 +28,7 @@
 from celeryferry_daemon._internal.forwarding.messages import CallerResponse
 from celeryferry_daemon._internal.forwarding.metrics import (
     RequestMetrics,
+    SourceMetrics,
     UpstreamMetrics,
 )
 from celeryferry_daemon._internal.forwarding.peers import PeerNetwork
@@ -96,6 +97,7 @@
             )
             for source in sources
         }
+        self._source_metrics = SourceMetrics(self.metrics_registry)
         own = HostInfo(
             host_id=settings.host_id,
             failure_domain=settings.failure_domain,
@@ -211,6 +213,9 @@
         return _make_response(self._wire.make_entry_hosts_response(addresses, validity))
 
     async def _handle_metrics(self, request: web.Request) -> web.Response:
+        now = self._clock.monotonic()
+        for follower in self._followers.values():
+            self._source_metrics.update(follower, now)
         accepts = request.headers.getall("Accept", [])
         content, headers = aioprometheus.render(self.metrics_registry, accepts)
         return web.Response(body=content, headers=headers)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from celeryferry_core.environment import Clock, RandomSource
+from celeryferry_core.forwarding.reading import ReadingReason
 from celeryferry_daemon._internal.forwarding.log_lines import LogWriter
 from celeryferry_daemon._internal.forwarding.ports import (
     HistoryGoneError,
@@ -41,6 +42,10 @@
         very revision, as items may have been added and removed since unseen.
     :ivar revision: revision up to which all changes are known, 0 if nothing was read.
     :ivar failed_item_count: items whose handling failed unexpectedly.
+    :ivar ignored_count: listings and whole contents of peers that were older than the
+        own contents.
+    :ivar heard_at: monotonic time at which this host last knew that its contents are
+        the current ones, by its own call or by a peer that reads the source.
     :ivar reads_it: whether the latest call of this host has succeeded, None if it does
         not read the source or has no result yet.
     :ivar is_unavailable: whether neither this host nor any of its peers can read the
@@ -51,6 +56,7 @@
         "_can_watch",
         "_clock",
         "_failures",
+        "_is_ignoring",
         "_is_reading",
         "_items",
         "_log",
@@ -60,6 +66,8 @@
         "_removals_known_after",
         "_state",
         "failed_item_count",
+        "heard_at",
+        "ignored_count",
         "is_unavailable",
         "on_changed",
         "reads_it",
@@ -91,6 +99,9 @@
         self.reads_it: bool | None = None
         self.is_unavailable = False
         self.failed_item_count = 0
+        self.ignored_count = 0
+        self._is_ignoring = False
+        self.heard_at = clock.monotonic()
         self.revision = 0
 
     @property
@@ -109,16 +120,29 @@
         now = self._clock.monotonic()
         return not (self.is_unavailable or self._state.registry.is_in_grace_period(now))
 
-    def set_reading(self, should_read: bool) -> None:
-        """Start or end the calls of this host; a waiting call is not cut off."""
-        if should_read == self.is_reading:
+    def set_reading(self, reason: ReadingReason | None) -> None:
+        """Start or end the calls of this host; a waiting call is not cut off.
+
+        :param reason: why this host reads the source, None if it does not.
+        """
+        if (reason is not None) == self.is_reading:
             return
-        self._log.write(
-            "reading_started" if should_read else "reading_ended",
-            source=self.source.name,
-            revision=self.revision,
-        )
-        if should_read:
+        if reason is not None:
+            self._log.write(
+                "reading_started",
+                source=self.source.name,
+                revision=self.revision,
+                reason=reason,
+            )
+        else:
+            self._log.write(
+                "reading_ended",
+                source=self.source.name,
+                revision=self.revision,
+                was_available=self.reads_it,
+                peers_read_it=self._peers_read_it,
+            )
+        if reason is not None:
             self._is_reading.set()
         else:
             self._is_reading.clear()
@@ -195,6 +219,8 @@
         :returns: False if changes are missing in between.
         """
         if changes.revision <= self.revision:
+            if after_revision == 0 and changes.revision < self.revision:
+                self._record_ignored("peer", changes.revision)
             return True
         if after_revision > self.revision:
             return False
@@ -217,6 +243,21 @@
             # A missing item may have expired while the source was unavailable. The
             # registry keeps its upstream, but only during the grace period.
             self._replace_items(listing, is_confirmed=False)
+        else:
+            self._record_ignored("listing", listing.revision)
+
+    def _record_ignored(self, origin: str, revision: int) -> None:
+        """Count contents that are not applied; only the first in a row is logged."""
+        self.ignored_count += 1
+        if not self._is_ignoring:
+            self._is_ignoring = True
+            self._log.write(
+                "source_contents_ignored",
+                source=self.source.name,
+                origin=origin,
+                revision=revision,
+                own_revision=self.revision,
+            )
 
     def _apply_changes(self, changes: SourceChanges) -> None:
         now = self._clock.monotonic()
@@ -260,6 +301,8 @@
             self.on_changed(previous_revision, changes, previous_revision > 0)
 
     def _set_revision(self, revision: int) -> None:
+        if revision > self.revision:
+            self._is_ignoring = False
         self.revision = revision
         self._state.registry.revision = max(self._state.registry.revision, revision)
 
@@ -300,6 +343,7 @@
         self._update_availability(reason)
 
     def _record_recovery(self) -> None:
+        self.heard_at = self._clock.monotonic()
         if not self.is_reading:
             return
         self._failures = 0
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/metrics.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/metrics.py
@@ -2,13 +2,14 @@
 
 from datetime import timedelta
 
-from aioprometheus import Counter, Histogram, Registry
+from aioprometheus import Counter, Gauge, Histogram, Registry
 
 from celeryferry_core.forwarding.processes import (
     DoubtCause,
     WarmupStatement,
     describe_statement,
 )
+from celeryferry_daemon._internal.forwarding.follower import SourceFollower
 from celeryferry_daemon._internal.forwarding.requests import Rejection
 
 # Upper bounds of the histogram buckets. They cover rules with target latencies of 60 ms
@@ -81,3 +82,37 @@
     def count_rejected(self, rejection: Rejection) -> None:
         """Count a request that was answered with a client error."""
         self._rejections.inc({"reason": rejection.value})
+
+
+class SourceMetrics:
+    """Shows how far this host follows its sources."""
+
+    __slots__ = ("_heard_age", "_ignored", "_is_available", "_is_reading", "_revision")
+
+    def __init__(self, registry: Registry) -> None:
+        def add(name: str, text: str) -> Gauge:
+            return Gauge(f"celeryferry_source_{name}", text, registry=registry)
+
+        self._revision = add("revision", "Revision that the contents reflect.")
+        self._heard_age = add(
+            "heard_age_seconds",
+            "Time since the contents were last known to be the current ones.",
+        )
+        self._ignored = add(
+            "ignored_contents", "Listings and whole contents that were too old."
+        )
+        self._is_reading = add("is_reading", "1 if this host calls the source.")
+        self._is_available = add("is_available", "0 if the source counts as lost.")
+
+    def update(self, follower: SourceFollower, now: timedelta) -> None:
+        """Set the gauges of one source.
+
+        :param now: current monotonic time.
+        """
+        labels = {"source": follower.source.name}
+        self._revision.set(labels, follower.revision)
+        age = now - follower.heard_at
+        self._heard_age.set(labels, round(age.total_seconds(), 3))
+        self._ignored.set(labels, follower.ignored_count)
+        self._is_reading.set(labels, int(follower.is_reading))
+        self._is_available.set(labels, int(not follower.is_unavailable))
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
@@ -7,7 +7,7 @@
     MAX_BEHIND_TIME,
     ReadingInputs,
     RelayReport,
-    should_read,
+    find_reading_reason,
 )
 from celeryferry_daemon._internal.forwarding.follower import SourceFollower
 from celeryferry_daemon._internal.forwarding.link_messages import (
@@ -71,6 +71,8 @@
             self._heard_revision, status.heard_revision, status.revision
         )
         own_revision = self.follower.revision
+        if status.reads_it and status.revision == own_revision:
+            self.follower.heard_at = now
         if status.revision <= own_revision:
             return None
         is_own_relay = role is LinkRole.TO_RELAY
@@ -139,7 +141,7 @@
             report_age=now - self._report_since,
             behind_for=self._get_behind_time(now),
         )
-        self.follower.set_reading(should_read(inputs))
+        self.follower.set_reading(find_reading_reason(inputs))
         self.follower.set_peers_read_it(self._do_peers_read_it())
 
     def _get_behind_time(self, now: timedelta) -> timedelta:
--- a/tests/core/test_reading.py
+++ b/tests/core/test_reading.py
@@ -9,7 +9,7 @@
     MAX_BEHIND_TIME,
     ReadingInputs,
     RelayReport,
-    should_read,
+    find_reading_reason,
 )
 from celeryferry_core.forwarding.relays import RELAY_COUNT
 
@@ -27,7 +27,7 @@
         "report": RelayReport.AVAILABLE,
         "report_age": timedelta(seconds=60),
     }
-    return should_read(ReadingInputs(**(inputs | changes)))
+    return find_reading_reason(ReadingInputs(**(inputs | changes))) is not None
 
 
 class TestShouldRead(unittest.TestCase):
--- a/tests/daemon/test_forwarding_sources.py
+++ b/tests/daemon/test_forwarding_sources.py
@@ -10,6 +10,7 @@
 from result import Err, Ok
 
 from celeryferry_core.forwarding.models import ForwardingConfiguration
+from celeryferry_core.forwarding.reading import ReadingReason
 from celeryferry_daemon._internal.clock import SystemClock
 from celeryferry_daemon._internal.forwarding.follower import (
     MIN_RETRY_DELAY,
@@ -153,7 +154,7 @@
         self.follower = SourceFollower(
             self.source, self.state, clock, random_source, self.log
         )
-        self.follower.set_reading(is_reader)
+        self.follower.set_reading(ReadingReason.RELAY if is_reader else None)
         task = asyncio.create_task(self.follower.run())
         if is_reader:
             await self.source.is_done.wait()
@@ -208,6 +209,16 @@
             self.assertEqual(self.source.calls, [None])
             self.assertFalse(self.follower.is_unavailable)
 
+    async def test_contents_that_are_ignored_are_logged_once(self):
+        """Guards against dropping what the source says without a trace in the log."""
+        older = Ok(SourceChanges((make_entry("s0-b", 4),), 4))
+        await self.follow(
+            Ok(SourceChanges((make_entry("s0-a", 3),), 5)),
+            *(Err(HistoryGoneError("gone")), older) * 2,
+        )
+        self.assertEqual(self.log.count("source_contents_ignored"), 1)
+        self.assertEqual(self.follower.ignored_count, 2)
+
     async def test_outage_is_logged_once_and_keeps_the_upstreams(self):
         """Guards against dropping upstreams in an outage, and one log line per call."""
         await self.follow(
@@ -234,8 +245,8 @@
             Ok(SourceChanges((), 5)),
         )
         self.assertEqual(self.source.waits, [True, False, True])
-        self.follower.set_reading(False)
-        self.follower.set_reading(True)
+        self.follower.set_reading(None)
+        self.follower.set_reading(ReadingReason.RELAY)
         self.source.results = [Ok(SourceChanges((), 5))]
         self.source.is_done.clear()
         task = asyncio.create_task(self.follower.run())
@@ -376,7 +387,7 @@
         self.assertFalse(self.follower.is_unavailable)
         self.follower.set_peers_read_it(False)
         self.assertTrue(self.follower.is_unavailable)
-        self.follower.set_reading(False)
+        self.follower.set_reading(None)
         self.follower.set_peers_read_it(None)
         self.assertTrue(self.follower.is_unavailable, "nothing says that it is back")
 
--- a/tests/daemon/test_sharing.py
+++ b/tests/daemon/test_sharing.py
@@ -5,7 +5,11 @@
 from datetime import timedelta
 
 from celeryferry_core.forwarding.hosts import LinkRole
-from celeryferry_core.forwarding.reading import ISOLATION_TIME, MAX_BEHIND_TIME
+from celeryferry_core.forwarding.reading import (
+    ISOLATION_TIME,
+    MAX_BEHIND_TIME,
+    ReadingReason,
+)
 from celeryferry_daemon._internal.clock import SystemClock
 from celeryferry_daemon._internal.forwarding.follower import SourceFollower
 from celeryferry_daemon._internal.forwarding.link_messages import SourceStatus
@@ -182,7 +186,7 @@
     async def test_reader_asks_other_domains_only_if_it_is_late(self):
         """Guards against contents that cross domains although each has its readers."""
         self.fill(self.shared, 5, make_entry("s0-a", 3))
-        self.shared.follower.set_reading(True)
+        self.shared.follower.set_reading(ReadingReason.RELAY)
         self.shared.follower.reads_it = True
         ask = self.shared.record_status
         role = LinkRole.BETWEEN_DOMAINS
@@ -192,7 +196,7 @@
     async def test_reader_that_is_refused_asks_other_domains_at_once(self):
         """Guards against missing a drain while the source refuses this host's calls."""
         self.fill(self.shared, 5, make_entry("s0-a", 3))
-        self.shared.follower.set_reading(True)
+        self.shared.follower.set_reading(ReadingReason.RELAY)
         self.shared.follower.reads_it = False
         request = self.shared.record_status(
             1, LinkRole.BETWEEN_DOMAINS, make_status(6), NOW
