--- a/packages/celeryferry-standins/src/celeryferry_standins/platform/fleet.py
+++ b/packages/celeryferry-standins/src/celeryferry_standins/platform/fleet.py
@@ -79,6 +79,8 @@
     :param folder: receives settings files and logs.
     :param services: services with one upstream in each zone.
     :param environment: further environment variables of the daemons.
+    :param hosts_per_zone: number of hosts in each zone.
+    :ivar hosts: all hosts; one of each zone comes first.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         folder: Path,
         services: Iterable[str],
         environment: Mapping[str, str] = MappingProxyType({}),
+        hosts_per_zone: int = 1,
     ) -> None:
         self.folder = folder
         self._environment = environment
@@ -95,13 +98,19 @@
             for service in services
             for zone in ZONES
         ]
-        self.hosts = [PlatformHost(f"host-{zone}", zone) for zone in ZONES]
+        self.hosts = [
+            PlatformHost(f"host-{zone}" + (f"-{number}" if number > 1 else ""), zone)
+            for number in range(1, hosts_per_zone + 1)
+            for zone in ZONES
+        ]
 
     @property
     def settings(self) -> dict[str, object]:
         """Settings that all hosts share."""
         return {
-            "seed_nodes": [host.addresses["admin"] for host in self.hosts],
+            "seed_nodes": [
+                host.addresses["admin"] for host in self.hosts[: len(ZONES)]
+            ],
             "platform": {"address": self.store.address},
             "parameters": {"grace_s": STOP_TIME.total_seconds(), "ttl_max_s": 5},
         }
