Follow a store that comes back from a copy of itself

The hosts called the store over 10,000 times a second meanwhile.

Cause: everything that orders news compared revisions alone: listings, watches, contents and requests between hosts. A revision orders changes only within one era of the store, which Store-Era names and nothing read. Lower revisions were dropped without a line.

Change: contents have a position, (era, revision). An answer below the position at which its call began is stale; a watch that crosses eras is not used. The first listing of an era is weighed against what the host knows: the copy is not news. Versions never go back; what the copy lacks or contradicts stays in force until it is written again or the time has passed in which it would have been. Relays send members the difference of the two contents, so members make no call.

Ruled out: taking the copy as it is.

What tests passed as revision numbers, they pass as positions of era 0 now; nothing they check is weaker.

--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/models.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/models.py
@@ -119,6 +119,7 @@
     :param cold_for: time for which the upstream stays cold, counted from the time at
         which it is listed.
     :param started_ms: Unix time of its start in milliseconds, 0 if unknown.
+    :param sequence: number of its statement, counted by the process itself.
     """
 
     instance_id: str
@@ -129,3 +130,9 @@
     is_draining: bool = False
     cold_for: timedelta = timedelta(0)
     started_ms: int = 0
+    sequence: int = 0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Sorts the statements of one instance by age, the latest last."""
+        return (self.started_ms, self.sequence)
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/registry.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/registry.py
@@ -1,13 +1,21 @@
 """Upstreams listed by service discovery, and failure domains out of service."""
 
+from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 from datetime import timedelta
 
+import msgspec
+
 from celeryferry_core.forwarding.models import Upstream
+from celeryferry_core.forwarding.positions import START, Position
+from celeryferry_core.forwarding.restores import is_outdated
 
 # Entries that expired while the source could not be read reappear within two seconds of
 # its return; another half a second covers the transfer to this host.
 SOURCE_BACK_GRACE = timedelta(milliseconds=2500)
+# Entries of dropped upstreams that are remembered, in case a copy of the source lists
+# them again; many times as many as are dropped in the few seconds that a copy is old.
+MAX_REMEMBERED_ENTRIES = 4096
 
 
 class UpstreamRegistry:
@@ -18,27 +26,29 @@
 
     Arguments named ``now`` are monotonic times.
 
-    :ivar revision: revision of the source that the registry reflects.
+    :ivar position: position in the source that the registry reflects.
     :ivar domains_out: failure domains that receive no work.
     """
 
     __slots__ = (
         "_by_service",
         "_cold_until",
+        "_dropped",
         "_missing_since",
         "_is_source_read",
         "_source_back_at",
         "_upstreams",
         "domains_out",
-        "revision",
+        "position",
     )
 
     def __init__(self) -> None:
-        self.revision = 0
+        self.position: Position = START
         self.domains_out: frozenset[str] = frozenset()
         self._upstreams: dict[str, Upstream] = {}
         self._by_service: dict[str, dict[str, Upstream]] = {}
         self._cold_until: dict[str, timedelta] = {}
+        self._dropped: OrderedDict[str, Upstream] = OrderedDict()
         self._missing_since: dict[str, timedelta] = {}
         # Whether the source can be read, None until that is known.
         self._is_source_read: bool | None = None
@@ -74,23 +84,43 @@
             self._source_back_at = now
         self._is_source_read = True
 
+    def restart_grace_period(self, now: timedelta) -> None:
+        """Start the grace period anew, as the source has lost entries."""
+        self._source_back_at = now
+
+    def is_outdated(self, entry: Upstream) -> bool:
+        """Return whether an entry of a copy says less than what is known.
+
+        An upstream that was dropped stays so until it is written again.
+        """
+        instance_id = entry.instance_id
+        known = self._upstreams.get(instance_id) or self._dropped.get(instance_id)
+        return known is not None and is_outdated(entry, known)
+
     def put(self, upstream: Upstream, now: timedelta) -> bool:
         """Add or replace one entry.
 
         :returns: True if the entry is new or differs from the previous one.
         """
         self._missing_since.pop(upstream.instance_id, None)
+        self._dropped.pop(upstream.instance_id, None)
         previous = self._upstreams.get(upstream.instance_id)
         if upstream.cold_for > timedelta(0):
             self._cold_until[upstream.instance_id] = now + upstream.cold_for
-        if previous == upstream:
+        if previous is not None and upstream == msgspec.structs.replace(
+            previous, sequence=upstream.sequence
+        ):
+            self._store(upstream)
             return False
         if previous is not None and previous.service != upstream.service:
             self._by_service[previous.service].pop(upstream.instance_id, None)
+        self._store(upstream)
+        return True
+
+    def _store(self, upstream: Upstream) -> None:
         self._upstreams[upstream.instance_id] = upstream
         listed = self._by_service.setdefault(upstream.service, {})
         listed[upstream.instance_id] = upstream
-        return True
 
     def remove(
         self, instance_id: str, now: timedelta, is_confirmed: bool = False
@@ -144,6 +174,9 @@
 
     def _drop(self, instance_id: str) -> None:
         upstream = self._upstreams.pop(instance_id)
+        self._dropped[instance_id] = upstream
+        if len(self._dropped) > MAX_REMEMBERED_ENTRIES:
+            self._dropped.popitem(last=False)
         self._by_service[upstream.service].pop(instance_id, None)
         self._cold_until.pop(instance_id, None)
         self._missing_since.pop(instance_id, None)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
@@ -2,12 +2,20 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 from result import Err, Ok
 
 from celeryferry_core.environment import Clock, RandomSource
+from celeryferry_core.forwarding.positions import (
+    START,
+    AnswerUse,
+    Evidence,
+    Position,
+    judge_listing,
+    judge_watch,
+)
 from celeryferry_core.forwarding.reading import ReadingReason
 from celeryferry_daemon._internal.forwarding.log_lines import LogWriter
 from celeryferry_daemon._internal.forwarding.ports import (
@@ -30,7 +38,7 @@
 # revision. A peer that is further behind gets the whole contents.
 MAX_REMEMBERED_REMOVALS = 4096
 
-ChangesListener = Callable[[int, SourceChanges, bool], None]
+ChangesListener = Callable[[Position, SourceChanges, bool], None]
 
 
 class SourceFollower:
@@ -38,9 +46,10 @@
 
     :param log: receives a line when the source becomes unavailable or available again.
     :ivar on_changed: called each time the contents have changed, with the previous
-        revision, the changes, and whether these are complete only for a host with that
-        very revision, as items may have been added and removed since unseen.
-    :ivar revision: revision up to which all changes are known, 0 if nothing was read.
+        position, the changes, and whether these are complete only for a host with that
+        very position, as items may have been added and removed since unseen.
+    :ivar position: position up to which all changes are known.
+    :ivar restore_count: restores of the source that this host has seen.
     :ivar failed_item_count: items whose handling failed unexpectedly.
     :ivar ignored_count: listings and whole contents of peers that were older than the
         own contents.
@@ -70,8 +79,9 @@
         "ignored_count",
         "is_unavailable",
         "on_changed",
+        "position",
         "reads_it",
-        "revision",
+        "restore_count",
         "source",
     )
 
@@ -90,6 +100,7 @@
         self._log = log
         self._items: dict[str, SourceItem] = {}
         self._removals: deque[SourceItem] = deque()
+        # Revision in the era of the contents.
         self._removals_known_after = 0
         self._can_watch = False
         self._failures = 0
@@ -102,12 +113,18 @@
         self.ignored_count = 0
         self._is_ignoring = False
         self.heard_at = clock.monotonic()
-        self.revision = 0
+        self.position: Position = START
+        self.restore_count = 0
+
+    @property
+    def revision(self) -> int:
+        """Revision up to which all changes are known, 0 if nothing was read."""
+        return self.position.revision
 
     @property
     def has_contents(self) -> bool:
         """Whether the contents are known, read by this host or received from a peer."""
-        return self.revision > 0
+        return not self.position.is_start
 
     @property
     def is_reading(self) -> bool:
@@ -162,10 +179,12 @@
         others receive the contents from them.
         """
         is_first_call = True
+        is_history_gone = False
         while True:
             if not is_first_call:
                 await self._is_reading.wait()
             is_first_call = False
+            asked = self.position
             is_listing = not self._can_watch
             if is_listing:
                 # Contents that are older than the history could not be followed by a
@@ -175,78 +194,169 @@
                 # A host that waits without knowing whether the source can be read
                 # would count as one that can't read it.
                 may_wait = self.reads_it is True
-                result = await self.source.watch(self.revision, may_wait)
+                result = await self.source.watch(asked.revision, may_wait)
             match result:
+                case Ok(changes) if is_listing:
+                    await self._apply_listing(asked, changes)
                 case Ok(changes):
-                    self._record_recovery()
-                    if is_listing:
-                        self._apply_listing(changes)
-                        continue
-                    self._apply_changes(changes)
-                    if changes.items:
-                        await asyncio.sleep(COALESCE_TIME.total_seconds())
+                    is_history_gone = False
+                    await self._apply_watch(asked, changes)
                 case Err(HistoryGoneError()):
                     self._log.write("source_history_gone", source=self.source.name)
                     self._can_watch = False
+                    if is_history_gone:
+                        # Even the latest listing could not be followed.
+                        await asyncio.sleep(self._pick_retry_delay_s())
+                    is_history_gone = True
                 case Err(error):
                     self._record_failure(str(error))
                     await asyncio.sleep(self._pick_retry_delay_s())
 
-    def list_changes(self, after_revision: int) -> tuple[int, SourceChanges]:
-        """Return the changes after a revision for a peer.
+    def list_changes(self, after: Position) -> tuple[Position, SourceChanges]:
+        """Return the changes after a position for a peer.
 
-        :returns: the revision to which the changes apply, and the changes. If that
-            revision is 0, they are the whole contents.
+        :returns: the position to which the changes apply, and the changes. If that is
+            the start, they are the whole contents.
         """
-        if not 0 < self._removals_known_after <= after_revision:
-            return 0, SourceChanges(tuple(self._items.values()), self.revision)
+        is_known = after.era == self.position.era and (
+            0 < self._removals_known_after <= after.revision
+        )
+        if not is_known:
+            return START, self._make_changes(self._items.values())
         changed = [
             item
             for item in (*self._items.values(), *self._removals)
-            if item.revision > after_revision
+            if item.revision > after.revision
         ]
         changed.sort(key=lambda item: item.revision)
-        return after_revision, SourceChanges(tuple(changed), self.revision)
+        return after, self._make_changes(changed)
 
     def apply_peer_changes(
-        self, after_revision: int, changes: SourceChanges, is_confirmed: bool
+        self, after: Position, changes: SourceChanges, is_confirmed: bool
     ) -> bool:
         """Apply changes or whole contents that a peer has sent, if they are newer.
 
-        :param after_revision: revision to which the changes apply, 0 for the whole
+        :param after: position to which the changes apply, the start for the whole
             contents.
         :param is_confirmed: as in ``is_confirmed`` of the peer.
         :returns: False if changes are missing in between.
         """
-        if changes.revision <= self.revision:
-            if after_revision == 0 and changes.revision < self.revision:
-                self._record_ignored("peer", changes.revision)
+        if changes.position <= self.position:
+            if after.is_start and changes.position < self.position:
+                self._record_ignored("peer", changes.position)
             return True
-        if after_revision > self.revision:
-            return False
-        if after_revision > 0:
-            self._apply_changes(changes)
+        if after.is_start:
+            self._apply_whole_contents(changes, is_confirmed)
+            return True
+        if after.era < changes.era:
+            # The changes lead from the contents before a restore to those after it.
+            if after != self.position:
+                return False
+            self._apply_restore(changes, changes.items)
             return True
+        if after > self.position:
+            return False
+        self._apply_changes(changes)
+        return True
+
+    def _apply_whole_contents(self, changes: SourceChanges, is_confirmed: bool) -> None:
         self._log.write(
             "source_copied_from_peer",
             source=self.source.name,
+            era=changes.era,
             revision=changes.revision,
             own_revision=self.revision,
             is_confirmed=is_confirmed,
         )
-        self._replace_items(changes, is_confirmed)
-        return True
+        if self.has_contents and changes.era > self.position.era:
+            self._apply_restore(changes, self._find_differences(changes))
+            return
+        self._replace_items(
+            changes, Evidence.CONFIRMED if is_confirmed else Evidence.UNCONFIRMED
+        )
 
-    def _apply_listing(self, listing: SourceChanges) -> None:
+    async def _apply_watch(self, asked: Position, changes: SourceChanges) -> None:
+        match judge_watch(asked, self.position, changes.position):
+            case AnswerUse.APPLY:
+                self._record_recovery()
+                self._apply_changes(changes)
+                if changes.items:
+                    await asyncio.sleep(COALESCE_TIME.total_seconds())
+            case AnswerUse.LIST:
+                self._can_watch = False
+            case AnswerUse.STALE:
+                await self._handle_stale_answer("watch", changes.position)
+
+    async def _apply_listing(self, asked: Position, listing: SourceChanges) -> None:
+        match judge_listing(asked, self.position, listing.position):
+            case AnswerUse.APPLY:
+                self._record_recovery()
+                # A missing item may have expired while the source was unavailable. The
+                # registry keeps its upstream, but only during the grace period.
+                self._replace_items(listing, Evidence.UNCONFIRMED)
+            case AnswerUse.RESTORE:
+                self._record_recovery()
+                self._apply_restore(listing, self._find_differences(listing))
+            case AnswerUse.SKIP:
+                self._can_watch = True
+            case AnswerUse.STALE:
+                await self._handle_stale_answer("listing", listing.position)
+
+    async def _handle_stale_answer(self, origin: str, position: Position) -> None:
+        """Treat the source as unavailable while it answers with an older state."""
+        self._record_ignored(origin, position)
+        self._record_failure(
+            f"{origin} of era {position.era}, revision {position.revision}, after"
+            f" era {self.position.era}, revision {self.revision}"
+        )
+        await asyncio.sleep(self._pick_retry_delay_s())
+
+    def _apply_restore(
+        self, changes: SourceChanges, differences: Iterable[SourceItem]
+    ) -> None:
+        """Go on from the contents of a source that has come back from a copy.
+
+        :param changes: gives the position of these contents.
+        :param differences: items in which they differ from the own ones.
+        """
+        now = self._clock.monotonic()
+        previous = self.position
+        differences = tuple(differences)
+        self._state.record_restored(now)
+        self._removals.clear()
+        self._removals_known_after = changes.revision
+        for item in differences:
+            self._apply_item(item, now, Evidence.RESTORED)
         self._can_watch = True
-        if listing.revision >= self.revision:
-            # A missing item may have expired while the source was unavailable. The
-            # registry keeps its upstream, but only during the grace period.
-            self._replace_items(listing, is_confirmed=False)
-        else:
-            self._record_ignored("listing", listing.revision)
+        self.restore_count += 1
+        self._set_position(changes.position)
+        self._log.write(
+            "source_restored",
+            source=self.source.name,
+            era=changes.era,
+            revision=changes.revision,
+            previous_era=previous.era,
+            previous_revision=previous.revision,
+            changed_count=len(differences),
+            held_count=self._state.held_count,
+        )
+        self.on_changed(previous, self._make_changes(differences), True)
+
+    def _find_differences(self, listing: SourceChanges) -> list[SourceItem]:
+        """Return the items of a later era that differ from the own ones."""
+        listed = {item.key: item for item in listing.items}
+        removed = [
+            SourceItem(key, listing.revision, None)
+            for key in self._items
+            if key not in listed
+        ]
+        changed = [item for key, item in listed.items() if self._items.get(key) != item]
+        return removed + changed
 
-    def _record_ignored(self, origin: str, revision: int) -> None:
+    def _make_changes(self, items: Iterable[SourceItem]) -> SourceChanges:
+        return SourceChanges(tuple(items), self.revision, self.position.era)
+
+    def _record_ignored(self, origin: str, position: Position) -> None:
         """Count contents that are not applied; only the first in a row is logged."""
         self.ignored_count += 1
         if not self._is_ignoring:
@@ -255,29 +365,32 @@
                 "source_contents_ignored",
                 source=self.source.name,
                 origin=origin,
-                revision=revision,
+                era=position.era,
+                revision=position.revision,
+                own_era=self.position.era,
                 own_revision=self.revision,
             )
 
     def _apply_changes(self, changes: SourceChanges) -> None:
+        """Apply changes of the era of the contents."""
         now = self._clock.monotonic()
-        previous_revision = self.revision
+        previous = self.position
         # Changes up to the own revision are part of the contents already. They arrive
         # twice if a peer has sent them while a call of this host was waiting.
-        newer = [item for item in changes.items if item.revision > previous_revision]
+        newer = [item for item in changes.items if item.revision > previous.revision]
         for item in newer:
             # A listing may hold items that are newer than its revision.
             known = self._items.get(item.key)
             if known is None or known.revision < item.revision:
                 self._apply_item(item, now)
-        if changes.revision > previous_revision:
-            self._set_revision(changes.revision)
-            changed = SourceChanges(tuple(newer), changes.revision)
-            self.on_changed(previous_revision, changed, False)
+        if changes.revision > previous.revision:
+            self._set_position(changes.position)
+            self.on_changed(previous, self._make_changes(newer), False)
 
-    def _replace_items(self, listing: SourceChanges, is_confirmed: bool) -> None:
+    def _replace_items(self, listing: SourceChanges, evidence: Evidence) -> None:
+        """Replace the contents by a listing of the same era, or by the first one."""
         now = self._clock.monotonic()
-        previous_revision = self.revision
+        previous = self.position
         listed_keys = {item.key for item in listing.items}
         removed = [
             SourceItem(item.key, listing.revision, None)
@@ -285,7 +398,7 @@
             if item.key not in listed_keys and item.revision <= listing.revision
         ]
         for item in removed:
-            self._apply_item(item, now, is_confirmed)
+            self._apply_item(item, now, evidence)
         changed = removed
         for item in listing.items:
             known = self._items.get(item.key)
@@ -295,19 +408,24 @@
         # Items that were added and removed since the previous revision are in neither.
         self._removals_known_after = max(self._removals_known_after, listing.revision)
         self._can_watch = True
-        self._set_revision(max(self.revision, listing.revision))
-        if changed or self.revision > previous_revision:
-            changes = SourceChanges(tuple(changed), self.revision)
-            self.on_changed(previous_revision, changes, previous_revision > 0)
+        self._set_position(max(self.position, listing.position))
+        if changed or self.position > previous:
+            self.on_changed(
+                previous, self._make_changes(changed), not previous.is_start
+            )
 
-    def _set_revision(self, revision: int) -> None:
-        if revision > self.revision:
+    def _set_position(self, position: Position) -> None:
+        if position > self.position:
             self._is_ignoring = False
-        self.revision = revision
-        self._state.registry.revision = max(self._state.registry.revision, revision)
+        self.position = position
+        registry = self._state.registry
+        registry.position = max(registry.position, position)
 
     def _apply_item(
-        self, item: SourceItem, now: timedelta, is_confirmed: bool = False
+        self,
+        item: SourceItem,
+        now: timedelta,
+        evidence: Evidence = Evidence.UNCONFIRMED,
     ) -> None:
         if item.value is None:
             self._items.pop(item.key, None)
@@ -322,7 +440,7 @@
         try:
             change = self.source.decode(item)
             if change is not None:
-                self._state.apply(change, now, is_confirmed)
+                self._state.apply(change, now, evidence)
         except Exception as error:
             # A fault in the handling of one item must not keep this host from the
             # changes of the others.
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/link_messages.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/link_messages.py
@@ -6,9 +6,11 @@
 
 from celeryferry_core.decoding import JsonDecoder
 from celeryferry_core.forwarding.hosts import HostInfo, HostsUpdate, RelaysUpdate
+from celeryferry_core.forwarding.positions import Position
 from celeryferry_daemon._internal.forwarding.ports import SourceItem
 
 Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+Era = Revision
 
 
 class SourceStatus(msgspec.Struct, frozen=True, gc=False, array_like=True):
@@ -19,12 +21,26 @@
     :param reads_it: whether its own latest call of the source has succeeded.
     :param is_available: whether the source can be read by it or by a host that it has a
         link to.
+    :param era: era of ``revision``.
+    :param heard_era: era of ``heard_revision``.
     """
 
     revision: Revision
     heard_revision: Revision
     reads_it: bool
     is_available: bool
+    era: Era = 0
+    heard_era: Era = 0
+
+    @property
+    def position(self) -> Position:
+        """Position that its contents reflect."""
+        return Position(self.era, self.revision)
+
+    @property
+    def heard_position(self) -> Position:
+        """Latest position that it has heard of."""
+        return Position(self.heard_era, self.heard_revision)
 
 
 class Hello(msgspec.Struct, frozen=True, gc=False, tag="hello"):
@@ -52,6 +68,9 @@
         after that. A missing item may then have expired instead of being deleted.
     :param is_exact: whether the changes are complete only for a receiver with exactly
         the revision ``after``, and not with a later one.
+    :param era: era of ``revision``.
+    :param after_era: era of ``after``. If it is an earlier one, the source was restored
+        in between, and the changes are those from the old contents to the new ones.
     """
 
     source: str
@@ -60,13 +79,29 @@
     items: tuple[SourceItem, ...]
     is_confirmed: bool
     is_exact: bool = False
+    era: Era = 0
+    after_era: Era = 0
+
+    @property
+    def position(self) -> Position:
+        """Position that the receiver has afterwards."""
+        return Position(self.era, self.revision)
+
+    @property
+    def after_position(self) -> Position:
+        """Position that the receiver must have, the start for the whole contents."""
+        return Position(self.after_era, self.after)
 
 
 class ContentsRequest(msgspec.Struct, frozen=True, gc=False, tag="request"):
-    """Asks for the changes after a revision, or for all items if it is 0."""
+    """Asks for the changes after a revision, or for all items if it is 0.
+
+    :param era: era of ``after``.
+    """
 
     source: str
     after: Revision
+    era: Era = 0
 
 
 class SeedQuestion(msgspec.Struct, frozen=True, gc=False):
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/metrics.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/metrics.py
@@ -87,13 +87,23 @@
 class SourceMetrics:
     """Shows how far this host follows its sources."""
 
-    __slots__ = ("_heard_age", "_ignored", "_is_available", "_is_reading", "_revision")
+    __slots__ = (
+        "_era",
+        "_heard_age",
+        "_ignored",
+        "_is_available",
+        "_is_reading",
+        "_restores",
+        "_revision",
+    )
 
     def __init__(self, registry: Registry) -> None:
         def add(name: str, text: str) -> Gauge:
             return Gauge(f"celeryferry_source_{name}", text, registry=registry)
 
         self._revision = add("revision", "Revision that the contents reflect.")
+        self._era = add("era", "Era of the source, as it states it.")
+        self._restores = add("restores", "Restores of the source seen by this host.")
         self._heard_age = add(
             "heard_age_seconds",
             "Time since the contents were last known to be the current ones.",
@@ -111,6 +121,8 @@
         """
         labels = {"source": follower.source.name}
         self._revision.set(labels, follower.revision)
+        self._era.set(labels, follower.position.era)
+        self._restores.set(labels, follower.restore_count)
         age = now - follower.heard_at
         self._heard_age.set(labels, round(age.total_seconds(), 3))
         self._ignored.set(labels, follower.ignored_count)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
@@ -28,6 +28,7 @@
     RelaysUpdate,
 )
 from celeryferry_core.forwarding.load import LoadMeter
+from celeryferry_core.forwarding.positions import Position
 from celeryferry_daemon._internal.forwarding.connector import (
     LINK_PATH,
     SEED_PATH,
@@ -257,16 +258,16 @@
     def _push_changes(
         self,
         shared: SharedSource,
-        previous_revision: int,
+        previous: Position,
         changes: SourceChanges,
         is_exact: bool,
     ) -> None:
-        if previous_revision == 0:
+        if previous.is_start:
             # With its first contents, this host becomes ready.
             self._schedule_settling()
         members = self._fleet.list_links(LinkRole.FROM_MEMBER)
         if members:
-            update = shared.make_update(previous_revision, changes, is_exact)
+            update = shared.make_update(previous, changes, is_exact)
             self._send(members, update)
 
     async def _open_link(self, host: HostInfo, role: LinkRole) -> None:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/ports.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/ports.py
@@ -11,6 +11,7 @@
 from celeryferry_core.forwarding.models import ForwardingConfiguration, Upstream
 from celeryferry_core.forwarding.notices import UpstreamNotice
 from celeryferry_core.forwarding.outcomes import AttemptOutcome, RequestResult
+from celeryferry_core.forwarding.positions import Position
 from celeryferry_core.forwarding.processes import WarmupStatement
 from celeryferry_daemon._internal.forwarding.connection import RawResponse
 from celeryferry_daemon._internal.forwarding.messages import (
@@ -44,10 +45,17 @@
 
     :param items: all items, or the changes in the order in which they happened.
     :param revision: revision of the source that the items reflect.
+    :param era: era of the source that these revisions belong to.
     """
 
     items: tuple[SourceItem, ...]
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Position that the items reflect."""
+        return Position(self.era, self.revision)
 
 
 class UpstreamListed(msgspec.Struct, frozen=True, gc=False):
@@ -93,9 +101,13 @@
 
 
 class DomainEvacuated(msgspec.Struct, frozen=True, gc=False):
-    """Operators took a failure domain out of service; it gets no work."""
+    """Operators took a failure domain out of service; it gets no work.
+
+    :param revision: revision of the item.
+    """
 
     failure_domain: str
+    revision: int = 0
 
 
 class DomainRestored(msgspec.Struct, frozen=True, gc=False):
@@ -133,7 +145,7 @@
     async def read_all(
         self, may_be_stale: bool
     ) -> Result[SourceChanges, SourceUnavailableError | HistoryGoneError]:
-        """Return all items as of some revision.
+        """Return all items as of some revision of one era.
 
         A watch from that revision returns what has changed since.
 
@@ -146,6 +158,8 @@
     ) -> Result[SourceChanges, SourceUnavailableError | HistoryGoneError]:
         """Return changes after a revision; the result is empty if there are none.
 
+        They follow the contents only if the result has the same era as these.
+
         :param may_wait: whether to wait for changes. The adapter decides how long.
         """
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/settings.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/settings.py
@@ -40,6 +40,7 @@
     :param max_entry_hosts_validity: longest time that a caller may keep the addresses
         of entry hosts.
     :param max_descriptors: file descriptors that the process may use.
+    :param heartbeat_interval: time between two statements of an upstream to the store.
     :param processor_share: processor time that this host gives the process, in seconds
         of an ordinary core per second.
     """
@@ -61,4 +62,5 @@
     stop_time: timedelta
     max_entry_hosts_validity: timedelta
     max_descriptors: int
+    heartbeat_interval: timedelta = timedelta(milliseconds=1200)
     processor_share: float = 1.0
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 from celeryferry_core.forwarding.hosts import LinkRole
+from celeryferry_core.forwarding.positions import START, Position
 from celeryferry_core.forwarding.reading import (
     MAX_BEHIND_TIME,
     ReadingInputs,
@@ -32,7 +33,7 @@
 
     __slots__ = (
         "_behind_since",
-        "_heard_revision",
+        "_heard_position",
         "_report",
         "_report_since",
         "_requested_at",
@@ -43,7 +44,7 @@
     def __init__(self, follower: SourceFollower, now: timedelta) -> None:
         self.follower = follower
         self._statuses: dict[int, tuple[LinkRole, SourceStatus]] = {}
-        self._heard_revision = 0
+        self._heard_position: Position = START
         self._behind_since: timedelta | None = None
         self._requested_at: timedelta | None = None
         self._report = RelayReport.NO_RELAY
@@ -55,9 +56,16 @@
         is_available = reads_it or any(
             status.reads_it for _, status in self._statuses.values()
         )
-        revision = self.follower.revision
-        heard_revision = max(revision, self._heard_revision)
-        return SourceStatus(revision, heard_revision, reads_it, is_available)
+        position = self.follower.position
+        heard = max(position, self._heard_position)
+        return SourceStatus(
+            position.revision,
+            heard.revision,
+            reads_it,
+            is_available,
+            position.era,
+            heard.era,
+        )
 
     def record_status(
         self, link_id: int, role: LinkRole, status: SourceStatus, now: timedelta
@@ -67,13 +75,13 @@
         :returns: request to send to this peer, None if its contents are not needed.
         """
         self._statuses[link_id] = (role, status)
-        self._heard_revision = max(
-            self._heard_revision, status.heard_revision, status.revision
+        self._heard_position = max(
+            self._heard_position, status.heard_position, status.position
         )
-        own_revision = self.follower.revision
-        if status.reads_it and status.revision == own_revision:
+        own_position = self.follower.position
+        if status.reads_it and status.position == own_position:
             self.follower.heard_at = now
-        if status.revision <= own_revision:
+        if status.position <= own_position:
             return None
         is_own_relay = role is LinkRole.TO_RELAY
         is_late = self._get_behind_time(now) >= MAX_BEHIND_TIME
@@ -83,7 +91,7 @@
         if requested_at is not None and now - requested_at < REQUEST_TIMEOUT:
             return None
         self._requested_at = now
-        return ContentsRequest(self.follower.source.name, own_revision)
+        return self._make_request()
 
     def drop_link(self, link_id: int) -> None:
         """Forget the status of a peer whose link has ended."""
@@ -94,37 +102,49 @@
 
         :returns: request for the whole contents if changes are missing in between.
         """
-        changes = SourceChanges(update.items, update.revision)
-        self._heard_revision = max(self._heard_revision, update.revision)
-        own_revision = self.follower.revision
-        if update.is_exact and update.after < own_revision < update.revision:
-            return ContentsRequest(update.source, own_revision)
-        if self.follower.apply_peer_changes(update.after, changes, update.is_confirmed):
+        changes = SourceChanges(update.items, update.revision, update.era)
+        self._heard_position = max(self._heard_position, update.position)
+        after, own = update.after_position, self.follower.position
+        if after.era < own.era == update.era and not after.is_start:
+            # Each relay of the domain sends what a restore has changed. What this one
+            # knows beyond the first one is in its ticks.
+            return None
+        if update.is_exact and after < own < update.position:
+            return self._make_request()
+        if self.follower.apply_peer_changes(after, changes, update.is_confirmed):
             self._requested_at = None
             return None
-        return ContentsRequest(update.source, self.follower.revision)
+        return self._make_request()
 
     def make_update(
-        self, after: int, changes: SourceChanges, is_exact: bool = False
+        self, after: Position, changes: SourceChanges, is_exact: bool = False
     ) -> ContentsUpdate:
         """Return changes as a message for peers.
 
-        :param is_exact: whether they are complete only for hosts with that revision.
+        :param is_exact: whether they are complete only for hosts with that position.
         """
         return ContentsUpdate(
             self.follower.source.name,
-            after,
+            after.revision,
             changes.revision,
             changes.items,
             self.follower.is_confirmed,
             is_exact,
+            changes.era,
+            after.era,
         )
 
     def answer(self, request: ContentsRequest) -> ContentsUpdate:
         """Return what a peer has asked for."""
-        after, changes = self.follower.list_changes(request.after)
+        after, changes = self.follower.list_changes(
+            Position(request.era, request.after)
+        )
         return self.make_update(after, changes)
 
+    def _make_request(self) -> ContentsRequest:
+        own = self.follower.position
+        return ContentsRequest(self.follower.source.name, own.revision, own.era)
+
     def update(self, is_relay: bool, rank: int, now: timedelta) -> None:
         """Decide whether this host reads the source.
 
@@ -145,7 +165,7 @@
         self.follower.set_peers_read_it(self._do_peers_read_it())
 
     def _get_behind_time(self, now: timedelta) -> timedelta:
-        if self._heard_revision <= self.follower.revision:
+        if self._heard_position <= self.follower.position:
             self._behind_since = None
             return timedelta(0)
         if self._behind_since is None:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
@@ -12,6 +12,7 @@
 from celeryferry_core.forwarding.hosts import HostInfo
 from celeryferry_core.forwarding.models import ForwardingConfiguration, Upstream
 from celeryferry_core.forwarding.notices import UpstreamNotice, UpstreamNotices
+from celeryferry_core.forwarding.positions import Evidence
 from celeryferry_core.forwarding.processes import (
     Cold,
     OtherInstance,
@@ -21,8 +22,9 @@
     WarmupStatement,
     describe_statement,
 )
-from celeryferry_core.forwarding.registry import UpstreamRegistry
+from celeryferry_core.forwarding.registry import SOURCE_BACK_GRACE, UpstreamRegistry
 from celeryferry_core.forwarding.restarts import RestartObservations, is_new_process
+from celeryferry_core.forwarding.restores import HeldChanges, get_holding_time
 from celeryferry_core.forwarding.rules import RuleTable, list_services
 from celeryferry_core.forwarding.selection import (
     DEFAULT_SERVICE_BOUNDS,
@@ -66,11 +68,14 @@
 
     __slots__ = (
         "_contact_time",
+        "_held",
+        "_holding_time",
         "_host_id",
         "_log",
         "_pool",
         "_rejected_keys",
         "_reports_seen",
+        "_returned_domains",
         "configuration",
         "invalid_pause_count",
         "rejected_count",
@@ -91,6 +96,10 @@
     ) -> None:
         self._host_id = settings.host_id
         self._contact_time = settings.contact_time
+        self._holding_time = get_holding_time(settings.heartbeat_interval)
+        self._held: HeldChanges[Change] = HeldChanges()
+        # Revisions of the items of domains that were put back into service.
+        self._returned_domains: dict[str, int] = {}
         self._pool = pool
         self._log = log
         self.configuration: ForwardingConfiguration | None = None
@@ -118,6 +127,7 @@
 
     def replace_settings(self, settings: ForwardingSettings) -> None:
         """Apply the limits of changed settings: extra requests and cold upstreams."""
+        self._holding_time = get_holding_time(settings.heartbeat_interval)
         self.warmup.replace_bounds(settings.cold_excess, settings.cold_tolerance)
         self.session_context.budgets.limits = _read_budget_limits(settings)
 
@@ -150,13 +160,24 @@
             sharing_count if is_sender else max(len(live_ids), sharing_count)
         )
 
-    def apply(self, change: Change, now: timedelta, is_confirmed: bool = False) -> None:
+    def apply(
+        self,
+        change: Change,
+        now: timedelta,
+        evidence: Evidence = Evidence.UNCONFIRMED,
+    ) -> None:
         """Apply one change of a source.
 
         :param now: current monotonic time.
-        :param is_confirmed: for a removal, whether the item is known to be deleted and
-            did not just expire while the source was unavailable.
+        :param evidence: what the change proves.
         """
+        self._held.drop(_get_subject(change))
+        if evidence is Evidence.RESTORED:
+            holding_time = self._get_holding_time(change)
+            if holding_time:
+                self._held.hold(_get_subject(change), change, now + holding_time)
+                return
+        is_confirmed = evidence is Evidence.CONFIRMED
         match change:
             case UpstreamListed(key, upstream):
                 self._rejected_keys.discard(key)
@@ -178,13 +199,51 @@
             case ConfigurationPublished(key, configuration):
                 self._rejected_keys.discard(key)
                 self._replace_configuration(configuration)
-            case DomainEvacuated(failure_domain):
+            case DomainEvacuated(failure_domain, revision):
+                self._returned_domains[failure_domain] = revision
                 self._replace_domains_out(self.registry.domains_out | {failure_domain})
             case DomainRestored(failure_domain):
                 self._replace_domains_out(self.registry.domains_out - {failure_domain})
             case ItemRejected(key, reason):
                 self._reject(key, reason)
 
+    def record_restored(self, now: timedelta) -> None:
+        """Record that the source has come back from a copy of itself.
+
+        Entries that the copy lacks are kept for the grace period. The source did not
+        announce new processes while it was away.
+        """
+        self.registry.restart_grace_period(now)
+        self._pool.record_source_lost(self._contact_time)
+
+    @property
+    def held_count(self) -> int:
+        """Number of changes of a copy that do not count yet."""
+        return len(self._held)
+
+    def _get_holding_time(self, change: Change) -> timedelta:
+        """Return how long a change from a copy is kept back, zero if it counts.
+
+        What the copy contradicts stays in force until it is written again, or until it
+        would have been: what operators have written, within the grace period, and the
+        entry of a process, before it expires. Versions of a configuration are ordered
+        without the source.
+        """
+        match change:
+            case UpstreamListed(_, upstream) if self.registry.is_outdated(upstream):
+                return self._holding_time
+            case UpstreamRejected(_, instance_id) if self.is_listed(instance_id):
+                return self._holding_time
+            case DomainEvacuated(domain, revision) if (
+                domain not in self.registry.domains_out
+                and self._returned_domains.get(domain) == revision
+            ):
+                return SOURCE_BACK_GRACE
+            case DomainRestored(domain) if domain in self.registry.domains_out:
+                return SOURCE_BACK_GRACE
+            case _:
+                return timedelta(0)
+
     @property
     def restarts(self) -> RestartObservations:
         """Upstreams that are absent or have returned cold, as observed."""
@@ -331,6 +390,8 @@
         :param now: current monotonic time.
         """
         self.notices.expire(now)
+        for change in self._held.take_due(now):
+            self.apply(change, now)
         self._pool.questions.processes.keep_only(self.is_listed)
         for instance_id in self.registry.drop_missing(now):
             self._remove_upstream(instance_id, now)
@@ -374,6 +435,17 @@
         )
 
 
+def _get_subject(change: Change) -> str:
+    """Return what a change is about, the same for an item and for its removal."""
+    match change:
+        case DomainEvacuated(failure_domain=domain):
+            return f"domain {domain}"
+        case DomainRestored(failure_domain=domain):
+            return f"domain {domain}"
+        case _:
+            return change.key
+
+
 def _read_budget_limits(settings: ForwardingSettings) -> BudgetLimits:
     return BudgetLimits(
         settings.extra_ratio, settings.extra_burst, settings.extra_window
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/boot.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/boot.py
@@ -65,6 +65,8 @@
     bind_addrs: _Addresses
     platform: _Store
     seed_nodes: list[str] = []
+    # Time between two writes of an upstream's entry.
+    heartbeat_ms: _DurationMs = 1200.0
     parameters: _Parameters = msgspec.field(default_factory=_Parameters)
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
@@ -116,6 +118,7 @@
             contact_time=timedelta(milliseconds=parameters.contact_ms),
             stop_time=timedelta(seconds=parameters.grace_s),
             max_entry_hosts_validity=timedelta(seconds=parameters.ttl_max_s),
+            heartbeat_interval=timedelta(milliseconds=settings_file.heartbeat_ms),
             max_descriptors=limits.max_fds,
             processor_share=limits.cpu_quota * limits.cpus,
         )
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/entries.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/entries.py
@@ -111,6 +111,8 @@
     warmup_left_ms: Annotated[float, Meta(le=_MAX_DURATION_MS)] = 0.0
     # Time at which this instance started, in Unix milliseconds.
     born: _Integer = 0
+    # Counts what the instance has written since its start.
+    seq: _Integer = 0
 
 
 _CONFIGURATION_DECODER = JsonDecoder(_Configuration)
@@ -183,6 +185,7 @@
             is_draining=server.lifecycle == _DRAINING,
             cold_for=timedelta(milliseconds=max(0.0, server.warmup_left_ms)),
             started_ms=server.born,
+            sequence=server.seq,
         )
     )
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/sources.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/sources.py
@@ -90,8 +90,9 @@
     """
     if item.key.startswith(EVACUATED_DOMAIN_PREFIX):
         domain = item.key.removeprefix(EVACUATED_DOMAIN_PREFIX)
-        is_out = item.value is not None
-        return DomainEvacuated(domain) if is_out else DomainRestored(domain)
+        if item.value is None:
+            return DomainRestored(domain)
+        return DomainEvacuated(domain, item.revision)
     if item.key != CONFIGURATION_KEY or item.value is None:
         return None
     match decode_configuration(item.value):
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/store.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/store.py
@@ -34,6 +34,11 @@
 # The platform limits a page to about 1 MB of values, which base64 makes a third larger.
 MAX_BODY_BYTES = 8 * 1_048_576
 HISTORY_GONE_STATUS = 410
+# Rises each time the store has come back from a copy of itself.
+ERA_HEADER = "Store-Era"
+MAX_ERA = 2**63 - 1
+# Listings begun anew because the store was restored between two pages.
+MAX_LISTING_STARTS = 3
 
 
 _Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
@@ -95,15 +100,29 @@
 
         The pages are not read from one snapshot, and each page of a stale read may be
         of another age, so the lowest revision of all pages is returned. A watch from
-        that revision may repeat changes, but misses none.
+        that revision may repeat changes, but misses none. If the store is restored
+        between two pages, they do not belong together, and the listing begins anew.
 
         :param may_be_stale: whether items that are seconds old are accepted. The store
             charges a tenth for such a read and does not count it towards its rate
             limit; all hosts may start at the same time.
         :returns: the items, or why there are none.
         """
+        for _ in range(MAX_LISTING_STARTS):
+            match await self._read_pages(prefix, may_be_stale):
+                case Err(error):
+                    return Err(error)
+                case Ok(SourceChanges() as changes):
+                    return Ok(changes)
+        return Err(SourceUnavailableError("/kv-range: pages of different eras"))
+
+    async def _read_pages(
+        self, prefix: str, may_be_stale: bool
+    ) -> Result[SourceChanges | None, SourceUnavailableError | HistoryGoneError]:
+        """Read all pages, None if they are of different eras."""
         items: list[SourceItem] = []
-        revision: int | None = None
+        revisions: list[int] = []
+        eras: set[int] = set()
         after = ""
         while True:
             params = {"path_prefix": prefix}
@@ -111,16 +130,18 @@
                 params["serializable"] = "1"
             if after:
                 params["after"] = after
-            result = await self._get("/kv-range", params, READ_TIMEOUT, _RANGE_DECODER)
-            match result:
+            match await self._get("/kv-range", params, READ_TIMEOUT, _RANGE_DECODER):
                 case Err(error):
                     return Err(error)
-                case Ok(page):
+                case Ok((page, era)):
                     pass
-            revision = page.as_of if revision is None else min(revision, page.as_of)
+            eras.add(era)
+            if len(eras) > 1:
+                return Ok(None)
+            revisions.append(page.as_of)
             items += [_translate_item(item) for item in page.items]
             if not page.truncated or not page.items:
-                return Ok(SourceChanges(tuple(items), revision))
+                return Ok(SourceChanges(tuple(items), min(revisions), era))
             after = page.items[-1].key
 
     async def watch(
@@ -144,10 +165,10 @@
         match result:
             case Err(error):
                 return Err(error)
-            case Ok(response):
+            case Ok((response, era)):
                 pass
         items = tuple(_translate_item(item) for item in response.events)
-        return Ok(SourceChanges(items, response.as_of))
+        return Ok(SourceChanges(items, response.as_of, era))
 
     async def _get(
         self,
@@ -155,7 +176,8 @@
         params: dict[str, str],
         timeout: timedelta,
         decoder: JsonDecoder[_T],
-    ) -> Result[_T, SourceUnavailableError | HistoryGoneError]:
+    ) -> Result[tuple[_T, int], SourceUnavailableError | HistoryGoneError]:
+        """Call the store; returns its message and its era, or why there is none."""
         client_timeout = aiohttp.ClientTimeout(
             total=timeout.total_seconds(),
             sock_connect=CONNECT_TIMEOUT.total_seconds(),
@@ -166,6 +188,7 @@
             ) as response:
                 body = await read_bounded(response, MAX_BODY_BYTES)
                 status, is_usable = response.status, is_answer(response)
+                era = _read_era(response.headers.get(ERA_HEADER, "0"))
         except (
             TimeoutError,
             aiohttp.ClientError,
@@ -181,13 +204,23 @@
             )
         if not is_usable:
             return Err(SourceUnavailableError(f"{path}: status {status}"))
+        if era is None:
+            return Err(SourceUnavailableError(f"{path}: {ERA_HEADER} is not a number"))
         match decoder.decode(body):
             case Ok(message):
-                return Ok(message)
+                return Ok((message, era))
             case Err(error):
                 return Err(SourceUnavailableError(f"{path}: {error}"))
 
 
+def _read_era(text: str) -> int | None:
+    """Return the era that a header states, None if it can't be read."""
+    if not (text.isascii() and text.isdigit() and len(text) <= len(str(MAX_ERA))):
+        return None
+    era = int(text)
+    return era if era <= MAX_ERA else None
+
+
 def _translate_item(item: _Item) -> SourceItem:
     if item.value is None or item.deleted:
         return SourceItem(item.key, item.revision, None)
--- a/tests/daemon/test_forwarding_sources.py
+++ b/tests/daemon/test_forwarding_sources.py
@@ -10,6 +10,7 @@
 from result import Err, Ok
 
 from celeryferry_core.forwarding.models import ForwardingConfiguration
+from celeryferry_core.forwarding.positions import START, Position
 from celeryferry_core.forwarding.reading import ReadingReason
 from celeryferry_daemon._internal.clock import SystemClock
 from celeryferry_daemon._internal.forwarding.follower import (
@@ -337,12 +338,17 @@
         pushed = []
         await self.follow(Ok(SourceChanges((make_entry("s0-a", 3),), 5)))
         self.follower.on_changed = lambda after, changes, is_exact: pushed.append(
-            (after, changes.revision, [item.key for item in changes.items], is_exact)
+            (
+                after.revision,
+                changes.revision,
+                [item.key for item in changes.items],
+                is_exact,
+            )
         )
         self.receive(0, 12, make_entry("s0-a", 3), make_entry("s0-c", 11))
         self.assertEqual(pushed, [(5, 12, ["s0-c"], True)])
-        after, changes = self.follower.list_changes(8)
-        self.assertEqual(after, 0, "removals before the new listing are unknown")
+        after, changes = self.follower.list_changes(Position(0, 8))
+        self.assertEqual(after, START, "removals before the new listing are unknown")
         self.assertEqual({item.key for item in changes.items}, {"s0-a", "s0-c"})
 
     async def test_contents_are_unconfirmed_while_the_source_is_unavailable(self):
@@ -368,11 +374,11 @@
             Ok(SourceChanges((make_entry("s0-a", 3), make_entry("s0-b", 4)), 5)),
             Ok(SourceChanges((make_removal("s0-a", 7), make_entry("s0-c", 8)), 8)),
         )
-        after, changes = self.follower.list_changes(6)
-        self.assertEqual((after, changes.revision), (6, 8))
+        after, changes = self.follower.list_changes(Position(0, 6))
+        self.assertEqual((after, changes.revision), (Position(0, 6), 8))
         self.assertEqual([item.key for item in changes.items], ["s0-a", "s0-c"])
-        after, changes = self.follower.list_changes(4)
-        self.assertEqual(after, 0, "removals before the first listing are unknown")
+        after, changes = self.follower.list_changes(Position(0, 4))
+        self.assertEqual(after, START, "removals before the first listing are unknown")
         self.assertEqual({item.key for item in changes.items}, {"s0-b", "s0-c"})
 
     async def test_peers_that_read_the_source_keep_it_available(self):
@@ -394,7 +400,7 @@
     def receive(self, after, revision, *items, is_confirmed=True) -> bool:
         """Apply what a peer has sent."""
         return self.follower.apply_peer_changes(
-            after, SourceChanges(items, revision), is_confirmed
+            Position(0, after), SourceChanges(items, revision), is_confirmed
         )
 
 
--- a/tests/daemon/test_hostile_decoders.py
+++ b/tests/daemon/test_hostile_decoders.py
@@ -12,6 +12,7 @@
 
 from celeryferry_core.addresses import MAX_PORT, is_address, split_address
 from celeryferry_core.forwarding.models import Weighted
+from celeryferry_core.forwarding.positions import START
 from celeryferry_core.partial_answers import decode_hits
 from celeryferry_daemon._internal.forwarding.connection import RawResponse
 from celeryferry_daemon._internal.forwarding.follower import SourceFollower
@@ -326,7 +327,7 @@
     def list_items(self, revision: int, *keys: str):
         """Apply a whole listing with these keys."""
         items = tuple(SourceItem(key, revision, b"x") for key in keys)
-        self.follower.apply_peer_changes(0, SourceChanges(items, revision), True)
+        self.follower.apply_peer_changes(START, SourceChanges(items, revision), True)
 
     def test_rejected_entry_is_logged_and_counted_once(self):
         upstream = make_upstream("s0", "a")
--- a/tests/daemon/test_restart_reports.py
+++ b/tests/daemon/test_restart_reports.py
@@ -10,6 +10,7 @@
 
 from celeryferry_core.forwarding.hosts import HostInfo
 from celeryferry_core.forwarding.models import ForwardingConfiguration, ServiceBounds
+from celeryferry_core.forwarding.positions import Evidence
 from celeryferry_core.forwarding.processes import (
     Cold,
     OtherInstance,
@@ -93,7 +94,7 @@
     def test_upstream_that_is_gone_is_forgotten(self):
         """Guards against connecting forever to an upstream that has ended."""
         self.pool.on_refused(UPSTREAM)
-        self.state.apply(UpstreamUnlisted("s0-a", "s0-a"), NOW, is_confirmed=True)
+        self.state.apply(UpstreamUnlisted("s0-a", "s0-a"), NOW, Evidence.CONFIRMED)
         self.state.check_absent_upstreams()
         self.assertEqual(self.state.restarts.list_absent(), [])
 
--- a/tests/daemon/test_sharing.py
+++ b/tests/daemon/test_sharing.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from celeryferry_core.forwarding.hosts import LinkRole
+from celeryferry_core.forwarding.positions import START, Position
 from celeryferry_core.forwarding.reading import (
     ISOLATION_TIME,
     MAX_BEHIND_TIME,
@@ -51,7 +52,7 @@
     def fill(self, shared: SharedSource, revision: int, *items):
         """Give a host its contents."""
         changes = SourceChanges(items, revision)
-        shared.follower.apply_peer_changes(0, changes, True)
+        shared.follower.apply_peer_changes(START, changes, True)
 
     async def asyncSetUp(self):
         self.shared = self.make_host()
@@ -118,7 +119,7 @@
     def exchange(
         self,
         sender: SharedSource,
-        after: int,
+        after: Position,
         changes: SourceChanges,
         is_exact: bool = False,
     ):
@@ -133,12 +134,12 @@
         sender.follower.on_changed = lambda *change: sent.append(change)
         self.fill(sender, 5, make_entry("s0-a", 3))
         sender.follower.apply_peer_changes(
-            5, SourceChanges((make_entry("s0-b", 6),), 6), True
+            Position(0, 5), SourceChanges((make_entry("s0-b", 6),), 6), True
         )
         sender.follower.apply_peer_changes(
-            6, SourceChanges((make_removal("s0-a", 7),), 7), True
+            Position(0, 6), SourceChanges((make_removal("s0-a", 7),), 7), True
         )
-        self.assertEqual([after for after, *_ in sent], [0, 5, 6])
+        self.assertEqual([after.revision for after, *_ in sent], [0, 5, 6])
         self.exchange(sender, *sent[0])
         self.exchange(sender, *sent[2])
         self.assertEqual(self.list_ids(self.shared), {"s0-b"})
@@ -158,7 +159,7 @@
         sender.follower.on_changed = lambda *change: sent.append(change)
         self.fill(self.shared, 7, make_entry("s0-a", 3), make_entry("s0-b", 6))
         sender.follower.apply_peer_changes(
-            0, SourceChanges((make_entry("s0-a", 3),), 9), True
+            START, SourceChanges((make_entry("s0-a", 3),), 9), True
         )
         self.exchange(sender, *sent[0])
         self.assertEqual(self.list_ids(self.shared), {"s0-a"})
@@ -168,7 +169,7 @@
         sender = self.make_host()
         self.fill(self.shared, 9, make_entry("s0-a", 9))
         self.fill(sender, 5, make_entry("s0-b", 3))
-        self.exchange(sender, *sender.follower.list_changes(0))
+        self.exchange(sender, *sender.follower.list_changes(START))
         self.assertEqual(self.list_ids(self.shared), {"s0-a"})
 
     async def test_contents_are_asked_for_once_at_a_time(self):
