Conclude a loss of the store only from calls that have failed

Cause: what had not been heard counted as known. A peer without a result of its first call, and a member that does not read at all, said 'not available', so the members of two new relays, and the relays themselves, logged a loss while the store was up.

Change: a status says whether its availability rests on a call. A loss needs a failed call of all relays, or of this host; a host that hands over takes its peers' reports first. Relays without a result are waited for as long as for a missing relay (1.2 s), then the candidates read.

Evidence: on the code before, four of the new tests of tests.daemon.test_sharing TestLossOfTheSource fail (handing over, relays without a result, a new relay with members, relays that say nothing for long); they pass now. The status keeps its form between hosts: the new field is the last one and may be missing.

--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/reading.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/reading.py
@@ -1,5 +1,6 @@
 """Decides whether a host reads a source itself or takes its contents from relays."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import StrEnum
@@ -18,20 +19,44 @@
 MAX_BEHIND_TIME = timedelta(seconds=1)
 
 
+class Availability(StrEnum):
+    """Whether a source can be read, as far as a host knows from calls."""
+
+    AVAILABLE = "available"
+    LOST = "lost"
+    UNKNOWN = "unknown"
+
+
 class RelayReport(StrEnum):
-    """What the relays of a host report about a source."""
+    """What the relays of a host report about a source.
+
+    With ``NO_RESULT``, none of them can read it as far as they know, and at least one
+    waits for the result of its first call.
+    """
 
     AVAILABLE = "available"
     UNAVAILABLE = "unavailable"
+    NO_RESULT = "no_result"
     NO_RELAY = "no_relay"
 
 
+def summarise(reports: Iterable[Availability]) -> Availability:
+    """Return what several hosts know together; a loss needs the word of all."""
+    found = set(reports)
+    if Availability.AVAILABLE in found:
+        return Availability.AVAILABLE
+    if found == {Availability.LOST}:
+        return Availability.LOST
+    return Availability.UNKNOWN
+
+
 class ReadingReason(StrEnum):
     """Why a host follows a source by its own calls, as in the log."""
 
     RELAY = "relay"
     BEHIND = "behind"
     RELAYS_UNAVAILABLE = "relays_unavailable"
+    RELAYS_SILENT = "relays_silent"
     NO_RELAY = "no_relay"
 
 
@@ -45,6 +70,7 @@
     :param report_age: time since this kind of report began.
     :param behind_for: time since this host has known of changes that it lacks, zero if
         it knows of none.
+    :param reads_it: whether the latest call of this host has succeeded.
     """
 
     is_relay: bool
@@ -52,6 +78,7 @@
     report: RelayReport
     report_age: timedelta
     behind_for: timedelta = timedelta(0)
+    reads_it: bool = False
 
 
 def find_reading_reason(inputs: ReadingInputs) -> ReadingReason | None:
@@ -64,12 +91,15 @@
         return ReadingReason.BEHIND
     if inputs.is_relay:
         return ReadingReason.RELAY
+    is_candidate = inputs.rank < RELAY_COUNT + EXTRA_READER_COUNT
     match inputs.report:
         case RelayReport.AVAILABLE:
             return None
         case RelayReport.UNAVAILABLE:
-            is_candidate = inputs.rank < RELAY_COUNT + EXTRA_READER_COUNT
             return ReadingReason.RELAYS_UNAVAILABLE if is_candidate else None
+        case RelayReport.NO_RESULT:
+            is_due = inputs.reads_it or inputs.report_age >= ISOLATION_TIME
+            return ReadingReason.RELAYS_SILENT if is_candidate and is_due else None
         case RelayReport.NO_RELAY:
             stagger = STAGGER_TIME * min(inputs.rank, MAX_STAGGER_COUNT)
             is_isolated = inputs.report_age >= ISOLATION_TIME + stagger
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
@@ -16,7 +16,7 @@
     judge_listing,
     judge_watch,
 )
-from celeryferry_core.forwarding.reading import ReadingReason
+from celeryferry_core.forwarding.reading import Availability, ReadingReason
 from celeryferry_daemon._internal.forwarding.log_lines import LogWriter
 from celeryferry_daemon._internal.forwarding.ports import (
     HistoryGoneError,
@@ -69,7 +69,7 @@
         "_is_reading",
         "_items",
         "_log",
-        "_peers_read_it",
+        "_peer_availability",
         "_random",
         "_removals",
         "_removals_known_after",
@@ -105,7 +105,7 @@
         self._can_watch = False
         self._failures = 0
         self._is_reading = asyncio.Event()
-        self._peers_read_it: bool | None = None
+        self._peer_availability = Availability.UNKNOWN
         self.on_changed: ChangesListener = lambda previous, changes, is_exact: None
         self.reads_it: bool | None = None
         self.is_unavailable = False
@@ -157,7 +157,7 @@
                 source=self.source.name,
                 revision=self.revision,
                 was_available=self.reads_it,
-                peers_read_it=self._peers_read_it,
+                peer_availability=self._peer_availability,
             )
         if reason is not None:
             self._is_reading.set()
@@ -167,9 +167,9 @@
             self._failures = 0
             self._update_availability("not read by this host")
 
-    def set_peers_read_it(self, peers_read_it: bool | None) -> None:
-        """Record whether any peer can read the source, None if that is unknown."""
-        self._peers_read_it = peers_read_it
+    def set_peer_availability(self, availability: Availability) -> None:
+        """Record whether any peer can read the source."""
+        self._peer_availability = availability
         self._update_availability("no peer can read it")
 
     async def run(self) -> None:
@@ -470,12 +470,18 @@
 
     def _update_availability(self, reason: str) -> None:
         """Report the loss or the return of the source to the registry and the log."""
-        if self.reads_it or self._peers_read_it:
+        if self.reads_it:
             is_unavailable = False
-        elif self.reads_it is False or self._peers_read_it is False:
-            is_unavailable = True
         else:
-            return
+            match self._peer_availability:
+                case Availability.AVAILABLE:
+                    is_unavailable = False
+                case Availability.LOST:
+                    is_unavailable = True
+                case Availability.UNKNOWN if self.reads_it is False:
+                    is_unavailable = True
+                case Availability.UNKNOWN:
+                    return
         now = self._clock.monotonic()
         if not is_unavailable:
             self._state.registry.mark_source_read(now)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/link_messages.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/link_messages.py
@@ -7,6 +7,7 @@
 from celeryferry_core.decoding import JsonDecoder
 from celeryferry_core.forwarding.hosts import HostInfo, HostsUpdate, RelaysUpdate
 from celeryferry_core.forwarding.positions import Position
+from celeryferry_core.forwarding.reading import Availability
 from celeryferry_daemon._internal.forwarding.ports import SourceItem
 
 Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
@@ -23,6 +24,8 @@
         link to.
     :param era: era of ``revision``.
     :param heard_era: era of ``heard_revision``.
+    :param is_availability_known: whether ``is_available`` rests on a call that has
+        succeeded or failed. Without one it says nothing.
     """
 
     revision: Revision
@@ -31,6 +34,15 @@
     is_available: bool
     era: Era = 0
     heard_era: Era = 0
+    is_availability_known: bool = True
+
+    @property
+    def availability(self) -> Availability:
+        """Whether it, or a host that it has a link to, can read the source."""
+        if self.is_available:
+            return Availability.AVAILABLE
+        known = self.is_availability_known
+        return Availability.LOST if known else Availability.UNKNOWN
 
     @property
     def position(self) -> Position:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
@@ -6,9 +6,11 @@
 from celeryferry_core.forwarding.positions import START, Position
 from celeryferry_core.forwarding.reading import (
     MAX_BEHIND_TIME,
+    Availability,
     ReadingInputs,
     RelayReport,
     find_reading_reason,
+    summarise,
 )
 from celeryferry_daemon._internal.forwarding.follower import SourceFollower
 from celeryferry_daemon._internal.forwarding.link_messages import (
@@ -65,6 +67,7 @@
             is_available,
             position.era,
             heard.era,
+            is_availability_known=is_available or self.follower.reads_it is False,
         )
 
     def record_status(
@@ -160,9 +163,11 @@
             report=report,
             report_age=now - self._report_since,
             behind_for=self._get_behind_time(now),
+            reads_it=self.follower.reads_it is True,
         )
+        # A host that stops reading relies on its peers from then on.
+        self.follower.set_peer_availability(self._find_peer_availability())
         self.follower.set_reading(find_reading_reason(inputs))
-        self.follower.set_peers_read_it(self._do_peers_read_it())
 
     def _get_behind_time(self, now: timedelta) -> timedelta:
         if self._heard_position <= self.follower.position:
@@ -174,18 +179,32 @@
 
     def _make_report(self) -> RelayReport:
         reported = [
-            status.is_available
+            status
             for role, status in self._statuses.values()
             if role is LinkRole.TO_RELAY
         ]
         if not reported:
             return RelayReport.NO_RELAY
-        return RelayReport.AVAILABLE if any(reported) else RelayReport.UNAVAILABLE
-
-    def _do_peers_read_it(self) -> bool | None:
-        if not self._statuses:
-            return None
-        return any(
-            status.reads_it or (role is LinkRole.TO_RELAY and status.is_available)
-            for role, status in self._statuses.values()
-        )
+        match summarise(status.availability for status in reported):
+            case Availability.AVAILABLE:
+                return RelayReport.AVAILABLE
+            case Availability.LOST:
+                return RelayReport.UNAVAILABLE
+            case Availability.UNKNOWN:
+                return RelayReport.NO_RESULT
+
+    def _find_peer_availability(self) -> Availability:
+        """Return whether any peer can read the source.
+
+        A peer that is no relay only vouches for its own calls, and one without a result
+        says nothing.
+        """
+        statuses = self._statuses.values()
+        relays = [each for role, each in statuses if role is LinkRole.TO_RELAY]
+        others = [each for role, each in statuses if role is not LinkRole.TO_RELAY]
+        if any(status.reads_it for status in others):
+            return Availability.AVAILABLE
+        if relays:
+            return summarise(status.availability for status in relays)
+        has_failed = any(status.is_availability_known for status in others)
+        return Availability.LOST if has_failed else Availability.UNKNOWN
--- a/tests/daemon/test_forwarding_sources.py
+++ b/tests/daemon/test_forwarding_sources.py
@@ -11,7 +11,7 @@
 
 from celeryferry_core.forwarding.models import ForwardingConfiguration
 from celeryferry_core.forwarding.positions import START, Position
-from celeryferry_core.forwarding.reading import ReadingReason
+from celeryferry_core.forwarding.reading import Availability, ReadingReason
 from celeryferry_daemon._internal.clock import SystemClock
 from celeryferry_daemon._internal.forwarding.follower import (
     MIN_RETRY_DELAY,
@@ -389,12 +389,12 @@
             Err(SourceUnavailableError("busy")),
         )
         self.assertTrue(self.follower.is_unavailable)
-        self.follower.set_peers_read_it(True)
+        self.follower.set_peer_availability(Availability.AVAILABLE)
         self.assertFalse(self.follower.is_unavailable)
-        self.follower.set_peers_read_it(False)
+        self.follower.set_peer_availability(Availability.LOST)
         self.assertTrue(self.follower.is_unavailable)
         self.follower.set_reading(None)
-        self.follower.set_peers_read_it(None)
+        self.follower.set_peer_availability(Availability.UNKNOWN)
         self.assertTrue(self.follower.is_unavailable, "nothing says that it is back")
 
     def receive(self, after, revision, *items, is_confirmed=True) -> bool:
--- a/tests/daemon/test_sharing.py
+++ b/tests/daemon/test_sharing.py
@@ -33,9 +33,14 @@
 RANK_OF_A_MEMBER = 10
 
 
-def make_status(revision: int, reads_it=True, is_available=True, heard=0):
+def make_status(
+    revision: int, reads_it=True, is_available=True, heard=0, is_known=True
+):
     """Return the status of a peer."""
-    return SourceStatus(revision, max(heard, revision), reads_it, is_available)
+    heard = max(heard, revision)
+    return SourceStatus(
+        revision, heard, reads_it, is_available, is_availability_known=is_known
+    )
 
 
 class SharingTestCase(unittest.IsolatedAsyncioTestCase):
@@ -109,6 +114,78 @@
         self.assertFalse(self.shared.follower.is_unavailable)
 
 
+class TestLossOfTheSource(SharingTestCase):
+    """Guards against a loss that was concluded from what was not heard yet.
+
+    After a loss, removed upstreams are kept for a grace period, so requests reach them
+    for too long. A host may conclude one only from a call that has failed.
+    """
+
+    CANDIDATE_RANK = 2
+
+    def count_losses(self) -> int:
+        """Return how often the host has logged a loss."""
+        return self.shared.follower._log.count("source_lost")
+
+    def start_candidate(self, relay_status: SourceStatus):
+        """Let the host read, as its relay can't; its calls succeed."""
+        lost = make_status(0, reads_it=False, is_available=False)
+        self.shared.record_status(1, LinkRole.TO_RELAY, lost, NOW)
+        self.assertTrue(self.update(rank=self.CANDIDATE_RANK))
+        self.shared.follower._record_recovery()
+        self.assertFalse(self.shared.follower.is_unavailable)
+        self.losses_before = self.count_losses()
+        self.shared.record_status(1, LinkRole.TO_RELAY, relay_status, NOW)
+
+    async def test_reader_that_hands_over_to_its_relay_loses_nothing(self):
+        """Guards against a loss at the end of an outage that has ended for all."""
+        self.start_candidate(make_status(0))
+        self.assertFalse(self.update(rank=self.CANDIDATE_RANK))
+        self.assertEqual(self.count_losses(), self.losses_before)
+        self.assertFalse(self.shared.follower.is_unavailable)
+
+    async def test_relays_without_a_result_are_no_loss(self):
+        """Guards against a loss after a change of relays.
+
+        The next candidates have just become the relays, and their first calls are under
+        way.
+        """
+        status = make_status(5, reads_it=False, is_available=False, is_known=False)
+        self.shared.record_status(1, LinkRole.TO_RELAY, status, NOW)
+        self.shared.record_status(2, LinkRole.TO_RELAY, status, NOW)
+        self.update()
+        self.assertEqual(self.count_losses(), 0)
+        self.shared.record_status(1, LinkRole.TO_RELAY, make_status(5), NOW)
+        self.update()
+        self.assertFalse(self.shared.follower.is_unavailable)
+
+    async def test_new_relay_does_not_conclude_a_loss_from_its_members(self):
+        """Guards against members that do not read, and count as ones that can't."""
+        member = self.make_host().make_status()
+        self.shared.record_status(1, LinkRole.FROM_MEMBER, member, NOW)
+        self.shared.record_status(2, LinkRole.TO_RELAY, member, NOW)
+        self.update(is_relay=True, rank=0)
+        self.assertEqual(self.count_losses(), 0)
+        self.assertFalse(self.shared.make_status().is_availability_known)
+
+    async def test_relays_that_say_nothing_for_long_are_replaced(self):
+        """Guards against waiting for good for relays that never have a result."""
+        status = make_status(0, reads_it=False, is_available=False, is_known=False)
+        self.shared.record_status(1, LinkRole.TO_RELAY, status, NOW)
+        self.assertFalse(self.update(rank=self.CANDIDATE_RANK))
+        late = NOW + ISOLATION_TIME
+        self.assertTrue(self.update(late, rank=self.CANDIDATE_RANK))
+        self.assertFalse(self.update(late, rank=RANK_OF_A_MEMBER))
+
+    async def test_relay_that_fails_is_believed(self):
+        """Guards against an outage that no member concludes."""
+        lost = make_status(5, reads_it=False, is_available=False)
+        for link_id in (1, 2):
+            self.shared.record_status(link_id, LinkRole.TO_RELAY, lost, NOW)
+        self.update()
+        self.assertTrue(self.shared.follower.is_unavailable)
+
+
 class TestContents(SharingTestCase):
     """Guards against hosts that miss a change, or that go back to an older state."""
 
