Keep reading while the relays can read the store only through this host

Hosts of a domain whose relays the store turns away learned of changes late: the next candidate read the store, its relay then counted the store as available, and the candidate took that report as a reason to stop, so that nobody read until the relay's report had changed back.

Cause: each of two hosts relied on the other. A relay's report covers what its members can read, and did not say whether it rests on the very host that weighs it.

Change: a host whose own calls succeed counts only the relay's own calls. It stops as soon as a relay reads again.

Evidence: tests.daemon.test_sharing TestLossOfTheSource test_reader_does_not_rely_on_a_relay_that_relies_on_it fails on the code before and passes now.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
@@ -185,7 +185,7 @@
         ]
         if not reported:
             return RelayReport.NO_RELAY
-        match summarise(status.availability for status in reported):
+        match summarise(map(self._weigh_relay, reported)):
             case Availability.AVAILABLE:
                 return RelayReport.AVAILABLE
             case Availability.LOST:
@@ -193,6 +193,14 @@
             case Availability.UNKNOWN:
                 return RelayReport.NO_RESULT
 
+    def _weigh_relay(self, status: SourceStatus) -> Availability:
+        """Return what a relay says of the source apart from this host's own calls."""
+        if self.follower.reads_it and not status.reads_it:
+            # It may rely on this host, which therefore must not rely on it.
+            known = status.is_availability_known
+            return Availability.LOST if known else Availability.UNKNOWN
+        return status.availability
+
     def _find_peer_availability(self) -> Availability:
         """Return whether any peer can read the source.
 
--- a/tests/daemon/test_sharing.py
+++ b/tests/daemon/test_sharing.py
@@ -144,6 +144,16 @@
         self.assertEqual(self.count_losses(), self.losses_before)
         self.assertFalse(self.shared.follower.is_unavailable)
 
+    async def test_reader_does_not_rely_on_a_relay_that_relies_on_it(self):
+        """Guards against hosts that stop and start reading in turn.
+
+        The relay can't read the source and counts it as available only because this
+        host reads it.
+        """
+        self.start_candidate(make_status(0, reads_it=False, is_available=True))
+        self.assertTrue(self.update(rank=self.CANDIDATE_RANK))
+        self.assertFalse(self.shared.follower.is_unavailable)
+
     async def test_relays_without_a_result_are_no_loss(self):
         """Guards against a loss after a change of relays.
 
