Let other hosts try the store while the relays and candidates are refused

Cause: only the relays and the next two candidates ever call the store on a report that nobody can read it. That these are refused was taken for the store being lost.

Change: after a second without a reader, the other hosts of the domain try in turn, one at a time for a second each. One that succeeds goes on until a relay reads again, as the relays then rely on it.

--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/fleet.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/fleet.py
@@ -75,6 +75,7 @@
     :ivar is_relay: whether this host relays for others, by the latest check.
     :ivar rank: position of this host among the candidates for relays of its domain, 0
         for the best, by the latest check.
+    :ivar candidate_count: number of these candidates.
     """
 
     __slots__ = (
@@ -91,6 +92,7 @@
         "_relay_since",
         "_unreachable_until",
         "_wanted_since",
+        "candidate_count",
         "is_relay",
         "rank",
         "seeds",
@@ -110,6 +112,7 @@
         self.started_at = started_at
         self.is_relay = False
         self.rank = 0
+        self.candidate_count = 1
         self._random = random
         self._links: dict[int, _Link] = {}
         self._opening: dict[str, LinkRole] = {}
@@ -302,6 +305,7 @@
         # All candidates of the domain, for the rank of this host.
         local = rank_relays(candidates, own.failure_domain, len(candidates))
         local_ids = [host.host_id for host in local]
+        self.candidate_count = len(local_ids)
         self.rank = (
             local_ids.index(own.host_id) if own.host_id in local_ids else len(local_ids)
         )
--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/reading.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/reading.py
@@ -10,6 +10,10 @@
 # A host whose relays report that the source can't be read tries it too if it is among
 # the next candidates for relays: the source may refuse some hosts and serve others.
 EXTRA_READER_COUNT = 2
+# If these are refused too, the other hosts of the domain try in turn, one at a time:
+# time from which on they do, and the time of each, enough for a call that times out.
+TURNS_DELAY = timedelta(seconds=1)
+TURN_TIME = timedelta(seconds=1)
 # Time without any relay after which a host reads the source itself, and the additional
 # time for each host that comes before it, up to a maximum.
 ISOLATION_TIME = timedelta(milliseconds=1200)
@@ -66,6 +70,7 @@
 
     :param is_relay: whether other hosts rely on this one.
     :param rank: position among the candidates for relays of the domain, 0 for the best.
+    :param host_count: number of these candidates.
     :param report: latest report of its relays.
     :param report_age: time since this kind of report began.
     :param behind_for: time since this host has known of changes that it lacks, zero if
@@ -77,6 +82,7 @@
     rank: int
     report: RelayReport
     report_age: timedelta
+    host_count: int = 0
     behind_for: timedelta = timedelta(0)
     reads_it: bool = False
 
@@ -96,7 +102,9 @@
         case RelayReport.AVAILABLE:
             return None
         case RelayReport.UNAVAILABLE:
-            return ReadingReason.RELAYS_UNAVAILABLE if is_candidate else None
+            # A host that succeeds must go on, for the relays may rely on it.
+            reads = is_candidate or inputs.reads_it or _has_turn(inputs)
+            return ReadingReason.RELAYS_UNAVAILABLE if reads else None
         case RelayReport.NO_RESULT:
             is_due = inputs.reads_it or inputs.report_age >= ISOLATION_TIME
             return ReadingReason.RELAYS_SILENT if is_candidate and is_due else None
@@ -104,3 +112,13 @@
             stagger = STAGGER_TIME * min(inputs.rank, MAX_STAGGER_COUNT)
             is_isolated = inputs.report_age >= ISOLATION_TIME + stagger
             return ReadingReason.NO_RELAY if is_isolated else None
+
+
+def _has_turn(inputs: ReadingInputs) -> bool:
+    """Return whether it is the turn of this host to try the source."""
+    first_rank = RELAY_COUNT + EXTRA_READER_COUNT
+    waiting_time = inputs.report_age - TURNS_DELAY
+    if inputs.rank < first_rank or waiting_time < timedelta(0):
+        return False
+    turn_count = max(1, inputs.host_count - first_rank)
+    return waiting_time // TURN_TIME % turn_count == inputs.rank - first_rank
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
@@ -227,7 +227,9 @@
         self._state.apply_restart_reports(self._table.live.values(), now)
         self._state.apply_leaving_reports(self._table.live.values(), now)
         for shared in self._sources.values():
-            shared.update(self._fleet.is_relay, self._fleet.rank, now)
+            shared.update(
+                self._fleet.is_relay, self._fleet.rank, now, self._fleet.candidate_count
+            )
 
     def _execute(self, actions: list[Action]) -> None:
         for action in actions:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
@@ -148,11 +148,14 @@
         own = self.follower.position
         return ContentsRequest(self.follower.source.name, own.revision, own.era)
 
-    def update(self, is_relay: bool, rank: int, now: timedelta) -> None:
+    def update(
+        self, is_relay: bool, rank: int, now: timedelta, host_count: int = 0
+    ) -> None:
         """Decide whether this host reads the source.
 
         :param is_relay: whether other hosts rely on this one.
         :param rank: position among the candidates for relays of the domain.
+        :param host_count: number of these candidates.
         """
         report = self._make_report()
         if report is not self._report:
@@ -162,6 +165,7 @@
             rank=rank,
             report=report,
             report_age=now - self._report_since,
+            host_count=host_count,
             behind_for=self._get_behind_time(now),
             reads_it=self.follower.reads_it is True,
         )
