Count readers of another domain that its relays pass on

Hosts of a domain whose own hosts were all refused by the store got its contents by way of another domain, whose only reader was a member there, and still counted the store as lost: removed upstreams were kept for as long as the refusal lasted.

Cause: a relay's word on another domain counted only for its own calls, as two relays could otherwise confirm an outage away to each other.

Change: a status says whether a host of the sender's own domain reads the source. Relays of other domains count that, and pass on to nobody what rests on a further domain.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/link_messages.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/link_messages.py
@@ -26,6 +26,8 @@
     :param heard_era: era of ``heard_revision``.
     :param is_availability_known: whether ``is_available`` rests on a call that has
         succeeded or failed. Without one it says nothing.
+    :param is_read_in_domain: whether it, or a host of its domain that it has a link to,
+        reads the source.
     """
 
     revision: Revision
@@ -35,6 +37,7 @@
     era: Era = 0
     heard_era: Era = 0
     is_availability_known: bool = True
+    is_read_in_domain: bool = False
 
     @property
     def availability(self) -> Availability:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
@@ -55,9 +55,12 @@
     def make_status(self) -> SourceStatus:
         """Return how far this host is, for its peers."""
         reads_it = self.follower.reads_it is True
-        is_available = reads_it or any(
-            status.reads_it for _, status in self._statuses.values()
+        is_read_in_domain = reads_it or any(
+            status.reads_it
+            for role, status in self._statuses.values()
+            if role is not LinkRole.BETWEEN_DOMAINS
         )
+        is_available = is_read_in_domain or self._do_other_domains_read_it()
         position = self.follower.position
         heard = max(position, self._heard_position)
         return SourceStatus(
@@ -68,6 +71,7 @@
             position.era,
             heard.era,
             is_availability_known=is_available or self.follower.reads_it is False,
+            is_read_in_domain=is_read_in_domain,
         )
 
     def record_status(
@@ -208,9 +212,11 @@
     def _find_peer_availability(self) -> Availability:
         """Return whether any peer can read the source.
 
-        A peer that is no relay only vouches for its own calls, and one without a result
-        says nothing.
+        A member only vouches for its own calls, and a relay of another domain for those
+        of its domain. One without a result says nothing.
         """
+        if self._do_other_domains_read_it():
+            return Availability.AVAILABLE
         statuses = self._statuses.values()
         relays = [each for role, each in statuses if role is LinkRole.TO_RELAY]
         others = [each for role, each in statuses if role is not LinkRole.TO_RELAY]
@@ -220,3 +226,15 @@
             return summarise(status.availability for status in relays)
         has_failed = any(status.is_availability_known for status in others)
         return Availability.LOST if has_failed else Availability.UNKNOWN
+
+    def _do_other_domains_read_it(self) -> bool:
+        """Return whether a host of another domain reads the source.
+
+        What relays know from other domains does not count, so that none takes its own
+        word for that of another domain.
+        """
+        return any(
+            status.reads_it or status.is_read_in_domain
+            for role, status in self._statuses.values()
+            if role is LinkRole.BETWEEN_DOMAINS
+        )
--- a/tests/daemon/test_sharing.py
+++ b/tests/daemon/test_sharing.py
@@ -187,6 +187,33 @@
         self.assertTrue(self.update(late, rank=self.CANDIDATE_RANK))
         self.assertFalse(self.update(late, rank=RANK_OF_A_MEMBER))
 
+    async def test_member_of_another_domain_reads_for_this_one(self):
+        """Guards against a loss in a domain whose contents come from another one.
+
+        The relays of both domains are refused; a member of the other one reads.
+        """
+        other_relay = self.make_host()
+        other_relay.record_status(1, LinkRole.FROM_MEMBER, make_status(0), NOW)
+        role = LinkRole.BETWEEN_DOMAINS
+        self.shared.record_status(1, role, other_relay.make_status(), NOW)
+        self.shared.follower.set_reading(ReadingReason.RELAY)
+        self.shared.follower._record_failure("refused")
+        self.update(is_relay=True, rank=0)
+        self.assertFalse(self.shared.follower.is_unavailable)
+        self.assertTrue(self.shared.make_status().is_available)
+
+    async def test_domains_do_not_vouch_for_each_other(self):
+        """Guards against two domains that confirm an outage away to each other."""
+        other_relay = self.make_host()
+        own_status = make_status(0, reads_it=False, is_available=True)
+        other_relay.record_status(1, LinkRole.BETWEEN_DOMAINS, own_status, NOW)
+        self.assertFalse(other_relay.make_status().is_available)
+        reading = make_status(0)
+        other_relay.record_status(1, LinkRole.BETWEEN_DOMAINS, reading, NOW)
+        status = other_relay.make_status()
+        self.assertTrue(status.is_available)
+        self.assertFalse(status.is_read_in_domain)
+
     async def test_relay_that_fails_is_believed(self):
         """Guards against an outage that no member concludes."""
         lost = make_status(5, reads_it=False, is_available=False)
