--- a/tests/daemon/test_restores.py
+++ b/tests/daemon/test_restores.py
@@ -3,7 +3,7 @@
 import unittest
 from datetime import timedelta
 
-from hypothesis import settings
+from hypothesis import Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
@@ -161,8 +161,13 @@
     hosts must keep what they know until it is written again, and then follow it.
     """
 
+    # Shrinking takes minutes; the phases are those that find a failure.
     settings = settings(
-        derandomize=True, max_examples=100, stateful_step_count=20, deadline=None
+        derandomize=True,
+        max_examples=200,
+        stateful_step_count=20,
+        deadline=None,
+        phases=(Phase.explicit, Phase.generate),
     )
 
 
