Keep what a copy contradicts anew after each restore

Two restores in a row from the same copy brought a failure domain that was out of service back, and let an upstream that had left be used as ready, before either could be written again: the second copy did not differ from the contents, so what was kept back kept its first time.

Change: each restore starts the times of all that is kept back anew, as it does the grace period of missing entries.

--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/restores.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/restores.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Hashable
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Generic, TypeVar
 
@@ -44,6 +45,13 @@
     return entry.order <= known.order
 
 
+@dataclass(slots=True)
+class _HeldChange(Generic[_T]):
+    change: _T
+    holding_time: timedelta
+    until: timedelta
+
+
 class HeldChanges(Generic[_T]):
     """Changes that a copy has and that are not applied yet, the latest of each key.
 
@@ -53,17 +61,21 @@
     __slots__ = ("_changes",)
 
     def __init__(self) -> None:
-        self._changes: dict[Hashable, tuple[_T, timedelta]] = {}
+        self._changes: dict[Hashable, _HeldChange[_T]] = {}
 
     def __len__(self) -> int:
         return len(self._changes)
 
-    def hold(self, key: Hashable, change: _T, until: timedelta) -> None:
-        """Keep a change back.
+    def hold(
+        self, key: Hashable, change: _T, holding_time: timedelta, now: timedelta
+    ) -> None:
+        """Keep a change back for some time."""
+        self._changes[key] = _HeldChange(change, holding_time, now + holding_time)
 
-        :param until: monotonic time from which it counts.
-        """
-        self._changes[key] = (change, until)
+    def restart(self, now: timedelta) -> None:
+        """Start all times anew, as the next copy may lack what was written again."""
+        for held in self._changes.values():
+            held.until = now + held.holding_time
 
     def drop(self, key: Hashable) -> None:
         """Forget the change of a key that has been written again."""
@@ -71,5 +83,5 @@
 
     def take_due(self, now: timedelta) -> list[_T]:
         """Return the changes that count from now on, and forget them."""
-        due = [key for key, (_, until) in self._changes.items() if until <= now]
-        return [self._changes.pop(key)[0] for key in due]
+        due = [key for key, held in self._changes.items() if held.until <= now]
+        return [self._changes.pop(key).change for key in due]
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
@@ -175,7 +175,7 @@
         if evidence is Evidence.RESTORED:
             holding_time = self._get_holding_time(change)
             if holding_time:
-                self._held.hold(_get_subject(change), change, now + holding_time)
+                self._held.hold(_get_subject(change), change, holding_time, now)
                 return
         is_confirmed = evidence is Evidence.CONFIRMED
         match change:
@@ -214,6 +214,7 @@
         announce new processes while it was away.
         """
         self.registry.restart_grace_period(now)
+        self._held.restart(now)
         self._pool.record_source_lost(self._contact_time)
 
     @property
