Recognise each earlier evacuation of a domain in a copy

A domain that had been taken out and put back twice was out of service after a restore from a copy with the first evacuation: only the latest one was remembered as taken back.

Change: the revisions of the last 32 evacuations of a domain are remembered.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
@@ -3,6 +3,7 @@
 They are read and changed only on the event loop, so there are no locks.
 """
 
+from collections import deque
 from collections.abc import Collection, Iterable
 from datetime import timedelta
 
@@ -47,6 +48,10 @@
 )
 from celeryferry_daemon._internal.forwarding.settings import ForwardingSettings
 
+# Evacuations of one domain that are remembered, to recognise the item of one that was
+# taken back in a copy of the source. A copy is some seconds old.
+MAX_REMEMBERED_EVACUATIONS = 32
+
 
 class HostState:
     """Configuration in force and upstreams known to this host.
@@ -68,6 +73,7 @@
 
     __slots__ = (
         "_contact_time",
+        "_evacuations",
         "_held",
         "_holding_time",
         "_host_id",
@@ -75,7 +81,6 @@
         "_pool",
         "_rejected_keys",
         "_reports_seen",
-        "_returned_domains",
         "configuration",
         "invalid_pause_count",
         "rejected_count",
@@ -98,8 +103,8 @@
         self._contact_time = settings.contact_time
         self._holding_time = get_holding_time(settings.heartbeat_interval)
         self._held: HeldChanges[Change] = HeldChanges()
-        # Revisions of the items of domains that were put back into service.
-        self._returned_domains: dict[str, int] = {}
+        # Revisions at which domains were taken out of service.
+        self._evacuations: dict[str, deque[int]] = {}
         self._pool = pool
         self._log = log
         self.configuration: ForwardingConfiguration | None = None
@@ -200,7 +205,7 @@
                 self._rejected_keys.discard(key)
                 self._replace_configuration(configuration)
             case DomainEvacuated(failure_domain, revision):
-                self._returned_domains[failure_domain] = revision
+                self._record_evacuation(failure_domain, revision)
                 self._replace_domains_out(self.registry.domains_out | {failure_domain})
             case DomainRestored(failure_domain):
                 self._replace_domains_out(self.registry.domains_out - {failure_domain})
@@ -237,7 +242,7 @@
                 return self._holding_time
             case DomainEvacuated(domain, revision) if (
                 domain not in self.registry.domains_out
-                and self._returned_domains.get(domain) == revision
+                and revision in self._evacuations.get(domain, ())
             ):
                 return SOURCE_BACK_GRACE
             case DomainRestored(domain) if domain in self.registry.domains_out:
@@ -413,6 +418,13 @@
         self.session_context.selector.forget(instance_id, now)
         self._log.write("upstream_gone", instance_id=instance_id)
 
+    def _record_evacuation(self, failure_domain: str, revision: int) -> None:
+        known = self._evacuations.setdefault(
+            failure_domain, deque(maxlen=MAX_REMEMBERED_EVACUATIONS)
+        )
+        if revision not in known:
+            known.append(revision)
+
     def _replace_domains_out(self, domains_out: frozenset[str]) -> None:
         if domains_out != self.registry.domains_out:
             self.registry.domains_out = domains_out
