Use an upstream whose expired entry is in the copy again

An upstream that was alive and listed got no requests for about 3 s: its entry had expired in an outage, and the copy from which the source came back half a second later held it as it was. The entry said nothing new, so it was held back, while the expired one was dropped at the end of the grace period.

Change: an entry equal to one that is missing, and not known to be removed, counts as listed. If nobody renews it the source deletes it.

--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/registry.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/registry.py
@@ -91,9 +91,14 @@
     def is_outdated(self, entry: Upstream) -> bool:
         """Return whether an entry of a copy says less than what is known.
 
-        An upstream that was dropped stays so until it is written again.
+        An upstream that was dropped stays so until it is written again. One whose entry
+        is missing may only have expired, and the copy lists it.
         """
         instance_id = entry.instance_id
+        if instance_id in self._missing_since and (
+            entry == self._upstreams.get(instance_id)
+        ):
+            return False
         known = self._upstreams.get(instance_id) or self._dropped.get(instance_id)
         return known is not None and is_outdated(entry, known)
 
