Back off while the store answers every watch with a lost history

A store without a usable history was read again every 50 to 100 ms by each reader: every successful listing reset the delay that its next answer 410 should have lengthened.

Change: the delay grows with the answers 410 in a row, until a watch succeeds.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
@@ -179,7 +179,7 @@
         others receive the contents from them.
         """
         is_first_call = True
-        is_history_gone = False
+        gone_count = 0
         while True:
             if not is_first_call:
                 await self._is_reading.wait()
@@ -199,18 +199,18 @@
                 case Ok(changes) if is_listing:
                     await self._apply_listing(asked, changes)
                 case Ok(changes):
-                    is_history_gone = False
+                    gone_count = 0
                     await self._apply_watch(asked, changes)
                 case Err(HistoryGoneError()):
                     self._log.write("source_history_gone", source=self.source.name)
                     self._can_watch = False
-                    if is_history_gone:
+                    if gone_count:
                         # Even the latest listing could not be followed.
-                        await asyncio.sleep(self._pick_retry_delay_s())
-                    is_history_gone = True
+                        await asyncio.sleep(self._pick_retry_delay_s(gone_count))
+                    gone_count += 1
                 case Err(error):
                     self._record_failure(str(error))
-                    await asyncio.sleep(self._pick_retry_delay_s())
+                    await asyncio.sleep(self._pick_retry_delay_s(self._failures))
 
     def list_changes(self, after: Position) -> tuple[Position, SourceChanges]:
         """Return the changes after a position for a peer.
@@ -309,7 +309,7 @@
             f"{origin} of era {position.era}, revision {position.revision}, after"
             f" era {self.position.era}, revision {self.revision}"
         )
-        await asyncio.sleep(self._pick_retry_delay_s())
+        await asyncio.sleep(self._pick_retry_delay_s(self._failures))
 
     def _apply_restore(
         self, changes: SourceChanges, differences: Iterable[SourceItem]
@@ -496,7 +496,7 @@
                 "source_back", source=self.source.name, revision=self.revision
             )
 
-    def _pick_retry_delay_s(self) -> float:
-        backoff = MIN_RETRY_DELAY * 2 ** min(self._failures, 6)
+    def _pick_retry_delay_s(self, failure_count: int) -> float:
+        backoff = MIN_RETRY_DELAY * 2 ** min(failure_count, 6)
         delay = min(MAX_RETRY_DELAY, backoff) * (0.5 + 0.5 * self._random.random())
         return delay.total_seconds()
