Take no peer that says available for one that has failed

A relay that had just started could take the store for lost, and keep removed upstreams for 2.5 s more (rule DRAIN): a member whose other relay read the store counted as one whose own calls had failed.

Cause: 'its availability is known' was read as 'it is known to be lost'.

Evidence: test_member_with_another_relay_that_reads_is_no_loss fails on the code before and passes now.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
@@ -224,7 +224,7 @@
             return Availability.AVAILABLE
         if relays:
             return summarise(status.availability for status in relays)
-        has_failed = any(status.is_availability_known for status in others)
+        has_failed = any(status.availability is Availability.LOST for status in others)
         return Availability.LOST if has_failed else Availability.UNKNOWN
 
     def _do_other_domains_read_it(self) -> bool:
--- a/tests/daemon/test_sharing.py
+++ b/tests/daemon/test_sharing.py
@@ -178,6 +178,14 @@
         self.assertEqual(self.count_losses(), 0)
         self.assertFalse(self.shared.make_status().is_availability_known)
 
+    async def test_member_with_another_relay_that_reads_is_no_loss(self):
+        """Guards against a loss that a new relay concludes from a peer that says the
+        contrary, but does not vouch for it by its own calls."""
+        member = make_status(0, reads_it=False, is_available=True)
+        self.shared.record_status(1, LinkRole.FROM_MEMBER, member, NOW)
+        self.update(is_relay=True, rank=0)
+        self.assertEqual(self.count_losses(), 0)
+
     async def test_relays_that_say_nothing_for_long_are_replaced(self):
         """Guards against waiting for good for relays that never have a result."""
         status = make_status(0, reads_it=False, is_available=False, is_known=False)
