Let the only reader of a domain go on until a relay reads

A domain could end without a reader for up to 37 s although one of its hosts could read the store, so that its hosts learned of no change (rules CONFIG, DRAIN, EVAC).

Cause: a host that reads by its turn went on only while all relays stated a loss. It stopped when a relay started and had no result yet, when its relay's link dropped, and after one call that failed, as the relay still counted the store as available by this very host. Relays that restart also began the turns of the others anew.

Change: a host counts as a reader for 2 s after its latest successful call, and a reader goes on until a relay reads itself. The turns are counted from the moment at which no relay read.

Evidence: test_one_failed_call_ends_no_reading and test_host_that_reads_goes_on_until_a_relay_reads (for relays without a result, and without a relay) fail on the code before and pass now.

--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/reading.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/reading.py
@@ -19,6 +19,9 @@
 ISOLATION_TIME = timedelta(milliseconds=1200)
 STAGGER_TIME = timedelta(milliseconds=100)
 MAX_STAGGER_COUNT = 5
+# Time after its latest successful call for which a host still counts as a reader. One
+# call that fails is repeated within this time.
+READER_RETENTION = timedelta(seconds=2)
 # Time after which a host that knows of later changes than its own reads the source.
 MAX_BEHIND_TIME = timedelta(seconds=1)
 
@@ -75,7 +78,7 @@
     :param report_age: time since this kind of report began.
     :param behind_for: time since this host has known of changes that it lacks, zero if
         it knows of none.
-    :param reads_it: whether the latest call of this host has succeeded.
+    :param reads_it: whether a recent call of this host has succeeded.
     """
 
     is_relay: bool
@@ -98,20 +101,23 @@
     if inputs.is_relay:
         return ReadingReason.RELAY
     is_candidate = inputs.rank < RELAY_COUNT + EXTRA_READER_COUNT
+    # A host that reads must go on while no relay does, for the relays may rely on it.
+    is_needed = is_candidate or inputs.reads_it
     match inputs.report:
-        case RelayReport.AVAILABLE:
-            return None
         case RelayReport.UNAVAILABLE:
-            # A host that succeeds must go on, for the relays may rely on it.
-            reads = is_candidate or inputs.reads_it or _has_turn(inputs)
+            reads = is_needed or _has_turn(inputs)
             return ReadingReason.RELAYS_UNAVAILABLE if reads else None
         case RelayReport.NO_RESULT:
             is_due = inputs.reads_it or inputs.report_age >= ISOLATION_TIME
-            return ReadingReason.RELAYS_SILENT if is_candidate and is_due else None
+            return ReadingReason.RELAYS_SILENT if is_needed and is_due else None
         case RelayReport.NO_RELAY:
             stagger = STAGGER_TIME * min(inputs.rank, MAX_STAGGER_COUNT)
             is_isolated = inputs.report_age >= ISOLATION_TIME + stagger
-            return ReadingReason.NO_RELAY if is_isolated else None
+            if is_isolated or inputs.reads_it:
+                return ReadingReason.NO_RELAY
+        case RelayReport.AVAILABLE:
+            pass
+    return None
 
 
 def _has_turn(inputs: ReadingInputs) -> bool:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
@@ -6,6 +6,7 @@
 from celeryferry_core.forwarding.positions import START, Position
 from celeryferry_core.forwarding.reading import (
     MAX_BEHIND_TIME,
+    READER_RETENTION,
     Availability,
     ReadingInputs,
     RelayReport,
@@ -22,6 +23,8 @@
 
 # A request for contents that was not answered within this time is sent again.
 REQUEST_TIMEOUT = timedelta(seconds=1)
+# Reports between which a domain has no reader all the while.
+_WITHOUT_READER = {RelayReport.UNAVAILABLE, RelayReport.NO_RESULT}
 
 
 class SharedSource:
@@ -36,6 +39,7 @@
     __slots__ = (
         "_behind_since",
         "_heard_position",
+        "_last_read_at",
         "_report",
         "_report_since",
         "_requested_at",
@@ -49,6 +53,7 @@
         self._heard_position: Position = START
         self._behind_since: timedelta | None = None
         self._requested_at: timedelta | None = None
+        self._last_read_at: timedelta | None = None
         self._report = RelayReport.NO_RELAY
         self._report_since = now
 
@@ -161,9 +166,14 @@
         :param rank: position among the candidates for relays of the domain.
         :param host_count: number of these candidates.
         """
-        report = self._make_report()
+        if self.follower.reads_it:
+            self._last_read_at = now
+        is_reader = self._is_recent_reader(now)
+        report = self._make_report(is_reader)
         if report is not self._report:
-            self._report, self._report_since = report, now
+            if {report, self._report} != _WITHOUT_READER:
+                self._report_since = now
+            self._report = report
         inputs = ReadingInputs(
             is_relay=is_relay,
             rank=rank,
@@ -171,7 +181,7 @@
             report_age=now - self._report_since,
             host_count=host_count,
             behind_for=self._get_behind_time(now),
-            reads_it=self.follower.reads_it is True,
+            reads_it=is_reader,
         )
         # A host that stops reading relies on its peers from then on.
         self.follower.set_peer_availability(self._find_peer_availability())
@@ -185,15 +195,20 @@
             self._behind_since = now
         return now - self._behind_since
 
-    def _make_report(self) -> RelayReport:
+    def _is_recent_reader(self, now: timedelta) -> bool:
+        read_at = self._last_read_at
+        is_recent = read_at is not None and now - read_at < READER_RETENTION
+        return self.follower.is_reading and is_recent
+
+    def _make_report(self, is_reader: bool) -> RelayReport:
         reported = [
-            status
+            _weigh_relay(status, is_reader)
             for role, status in self._statuses.values()
             if role is LinkRole.TO_RELAY
         ]
         if not reported:
             return RelayReport.NO_RELAY
-        match summarise(map(self._weigh_relay, reported)):
+        match summarise(reported):
             case Availability.AVAILABLE:
                 return RelayReport.AVAILABLE
             case Availability.LOST:
@@ -201,14 +216,6 @@
             case Availability.UNKNOWN:
                 return RelayReport.NO_RESULT
 
-    def _weigh_relay(self, status: SourceStatus) -> Availability:
-        """Return what a relay says of the source apart from this host's own calls."""
-        if self.follower.reads_it and not status.reads_it:
-            # It may rely on this host, which therefore must not rely on it.
-            known = status.is_availability_known
-            return Availability.LOST if known else Availability.UNKNOWN
-        return status.availability
-
     def _find_peer_availability(self) -> Availability:
         """Return whether any peer can read the source.
 
@@ -238,3 +245,15 @@
             for role, status in self._statuses.values()
             if role is LinkRole.BETWEEN_DOMAINS
         )
+
+
+def _weigh_relay(status: SourceStatus, is_reader: bool) -> Availability:
+    """Return what a relay says of the source apart from this host's own calls.
+
+    :param is_reader: whether this host reads the source. The relay may then rely on it,
+        so it must not rely on the relay.
+    """
+    if is_reader and not status.reads_it:
+        known = status.is_availability_known
+        return Availability.LOST if known else Availability.UNKNOWN
+    return status.availability
--- a/tests/core/test_reading.py
+++ b/tests/core/test_reading.py
@@ -92,11 +92,13 @@
             had_turns |= readers
         self.assertEqual(had_turns, set(range(RELAY_COUNT, host_count)))
 
-    def test_host_that_reads_goes_on_while_the_relays_fail(self):
+    def test_host_that_reads_goes_on_until_a_relay_reads(self):
         """Guards against relays that lose the only host that reads for them."""
-        for report in (RelayReport.UNAVAILABLE, RelayReport.AVAILABLE):
-            is_needed = report is RelayReport.UNAVAILABLE
-            self.assertEqual(decide(report=report, reads_it=True), is_needed)
+        for report in RelayReport:
+            is_needed = report is not RelayReport.AVAILABLE
+            age = timedelta(0)
+            reads = decide(report=report, report_age=age, reads_it=True)
+            self.assertEqual(reads, is_needed, report)
 
     def test_member_that_is_behind_reads(self):
         """Guards against relays that are available but have missed a change."""
--- a/tests/daemon/test_sharing.py
+++ b/tests/daemon/test_sharing.py
@@ -9,6 +9,7 @@
 from celeryferry_core.forwarding.reading import (
     ISOLATION_TIME,
     MAX_BEHIND_TIME,
+    READER_RETENTION,
     ReadingReason,
 )
 from celeryferry_daemon._internal.clock import SystemClock
@@ -222,6 +223,31 @@
         self.assertTrue(status.is_available)
         self.assertFalse(status.is_read_in_domain)
 
+    async def test_one_failed_call_ends_no_reading(self):
+        """Guards against a domain whose only reader waits for its next turn.
+
+        The relays can't read the source and still count it as available by this host.
+        """
+        host_count = 12
+        lost = make_status(0, reads_it=False, is_available=False)
+        self.shared.record_status(1, LinkRole.TO_RELAY, lost, NOW)
+        for seconds in range(10):
+            now = NOW + timedelta(seconds=seconds)
+            self.shared.update(False, RANK_OF_A_MEMBER, now, host_count)
+            if self.shared.follower.is_reading:
+                break
+        self.shared.follower._record_recovery()
+        by_this_host = make_status(0, reads_it=False, is_available=True)
+        self.shared.record_status(1, LinkRole.TO_RELAY, by_this_host, now)
+        self.shared.update(False, RANK_OF_A_MEMBER, now, host_count)
+        self.shared.follower._record_failure("refused")
+        later = now + timedelta(milliseconds=500)
+        self.shared.update(False, RANK_OF_A_MEMBER, later, host_count)
+        self.assertTrue(self.shared.follower.is_reading)
+        much_later = now + READER_RETENTION
+        self.shared.update(False, RANK_OF_A_MEMBER, much_later, host_count)
+        self.assertFalse(self.shared.follower.is_reading)
+
     async def test_relay_that_fails_is_believed(self):
         """Guards against an outage that no member concludes."""
         lost = make_status(5, reads_it=False, is_available=False)
