Let hosts that are behind a lost store wait for their turn

Cause: being behind went before every other reason, also before the relays' word that nobody can read the store.

Change: it counts only while a relay reports the store as available. There its watch may hang; without one, the turns find who can read.

Evidence: test_hosts_behind_a_lost_source_wait_for_their_turn fails on the code before and passes now.

--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/reading.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/reading.py
@@ -96,8 +96,6 @@
     At its start, each host reads the contents once in any case, so that it can serve
     before it has found its relays.
     """
-    if inputs.behind_for >= MAX_BEHIND_TIME:
-        return ReadingReason.BEHIND
     if inputs.is_relay:
         return ReadingReason.RELAY
     is_candidate = inputs.rank < RELAY_COUNT + EXTRA_READER_COUNT
@@ -117,7 +115,8 @@
                 return ReadingReason.NO_RELAY
         case RelayReport.AVAILABLE:
             pass
-    return None
+    is_behind = inputs.behind_for >= MAX_BEHIND_TIME
+    return ReadingReason.BEHIND if is_behind else None
 
 
 def _has_turn(inputs: ReadingInputs) -> bool:
--- a/tests/core/test_reading.py
+++ b/tests/core/test_reading.py
@@ -100,6 +100,23 @@
             reads = decide(report=report, report_age=age, reads_it=True)
             self.assertEqual(reads, is_needed, report)
 
+    def test_hosts_behind_a_lost_source_wait_for_their_turn(self):
+        """Guards against calls of every host while the source is down.
+
+        Pattern: a domain has told of a change before it and the source were lost.
+        """
+        readers = [
+            rank
+            for rank in range(RELAY_COUNT, 40)
+            if decide(
+                rank=rank,
+                report=RelayReport.UNAVAILABLE,
+                behind_for=MAX_BEHIND_TIME,
+                host_count=40,
+            )
+        ]
+        self.assertLessEqual(len(readers), EXTRA_READER_COUNT + 1)
+
     def test_member_that_is_behind_reads(self):
         """Guards against relays that are available but have missed a change."""
         self.assertTrue(decide(behind_for=MAX_BEHIND_TIME))
