Confirm removals only with knowledge of the time before

After an outage in which all entries had expired, members could drop all upstreams at once, and callers got 503 for about 2 s: a relay that had started at the end of the outage listed the store and told them that its contents were confirmed.

Cause: a host that had heard of no loss counted as knowing that there was none.

Change: a host confirms removals once it has run for the grace period and knows that the store is read.

Evidence: test_started_host_confirms_no_removal fails on the code before and passes now.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
@@ -17,6 +17,7 @@
     judge_watch,
 )
 from celeryferry_core.forwarding.reading import Availability, ReadingReason
+from celeryferry_core.forwarding.registry import SOURCE_BACK_GRACE
 from celeryferry_daemon._internal.forwarding.log_lines import LogWriter
 from celeryferry_daemon._internal.forwarding.ports import (
     HistoryGoneError,
@@ -73,6 +74,7 @@
         "_random",
         "_removals",
         "_removals_known_after",
+        "_started_at",
         "_state",
         "failed_item_count",
         "heard_at",
@@ -112,7 +114,7 @@
         self.failed_item_count = 0
         self.ignored_count = 0
         self._is_ignoring = False
-        self.heard_at = clock.monotonic()
+        self._started_at = self.heard_at = clock.monotonic()
         self.position: Position = START
         self.restore_count = 0
 
@@ -133,9 +135,14 @@
 
     @property
     def is_confirmed(self) -> bool:
-        """Whether an item missing from the contents is known to be deleted."""
+        """Whether an item missing from the contents is known to be deleted.
+
+        A host that has just started does not know of an outage in which it expired.
+        """
         now = self._clock.monotonic()
-        return not (self.is_unavailable or self._state.registry.is_in_grace_period(now))
+        if self.is_unavailable or now - self._started_at < SOURCE_BACK_GRACE:
+            return False
+        return self._state.registry.is_current(now)
 
     def set_reading(self, reason: ReadingReason | None) -> None:
         """Start or end the calls of this host; a waiting call is not cut off.
--- a/tests/daemon/test_sharing.py
+++ b/tests/daemon/test_sharing.py
@@ -10,6 +10,7 @@
     ISOLATION_TIME,
     MAX_BEHIND_TIME,
     READER_RETENTION,
+    Availability,
     ReadingReason,
 )
 from celeryferry_daemon._internal.clock import SystemClock
@@ -320,6 +321,23 @@
         self.exchange(sender, *sender.follower.list_changes(START))
         self.assertEqual(self.list_ids(self.shared), {"s0-a"})
 
+    async def test_started_host_confirms_no_removal(self):
+        """Guards against dropping all upstreams after an outage that a relay missed.
+
+        All entries have expired in the outage. The relay has started at its end, and
+        members know that the entries may return.
+        """
+        relay = self.make_host()
+        self.fill(relay, 9)
+        relay.follower.set_reading(ReadingReason.RELAY)
+        relay.follower._record_recovery()
+        self.fill(self.shared, 5, make_entry("s0-a", 3))
+        self.shared.follower.set_peer_availability(Availability.LOST)
+        self.shared.follower.set_peer_availability(Availability.AVAILABLE)
+        self.exchange(relay, *relay.follower.list_changes(START))
+        self.assertEqual(self.shared.follower.revision, 9)
+        self.assertEqual(self.list_ids(self.shared), {"s0-a"})
+
     async def test_contents_are_asked_for_once_at_a_time(self):
         """Guards against asking again at every tick while an answer is on its way."""
         roles = (LinkRole.TO_RELAY, LinkRole.TO_RELAY)
