Release nothing of a copy while the store is away again

A failure domain came back into service, and an upstream that had left was used as ready, while the store was away a second time after a restore, so that nobody could have written again what was lost.

Change: what is held back waits while the store is known to be lost.

Evidence: test_outage_after_a_restore_releases_nothing fails on the code before and passes now; the state machine holds.

--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/registry.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/registry.py
@@ -74,6 +74,11 @@
         until = self._cold_until.get(instance_id)
         return until is not None and now < until
 
+    @property
+    def is_source_lost(self) -> bool:
+        """Whether the source is known to be unreadable."""
+        return self._is_source_read is False
+
     def mark_source_lost(self) -> None:
         """Mark the source as unreadable; missing entries are kept from now on."""
         self._is_source_read = False
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
@@ -246,7 +246,7 @@
             ):
                 return SOURCE_BACK_GRACE
             case DomainRestored(domain) if domain in self.registry.domains_out:
-                return SOURCE_BACK_GRACE
+                return max(SOURCE_BACK_GRACE, self._contact_time)
             case _:
                 return timedelta(0)
 
@@ -396,8 +396,10 @@
         :param now: current monotonic time.
         """
         self.notices.expire(now)
-        for change in self._held.take_due(now):
-            self.apply(change, now)
+        if not self.registry.is_source_lost:
+            # While nothing can be written, nothing counts as not written again.
+            for change in self._held.take_due(now):
+                self.apply(change, now)
         self._pool.questions.processes.keep_only(self.is_listed)
         for instance_id in self.registry.drop_missing(now):
             self._remove_upstream(instance_id, now)
--- a/tests/daemon/test_repeated_restores.py
+++ b/tests/daemon/test_repeated_restores.py
@@ -75,6 +75,19 @@
         self.restore(away=3, then=1.8)
         self.assertEqual(self.fleet.violations, [])
 
+    def test_outage_after_a_restore_releases_nothing(self):
+        """Guards against work for a domain that is out, during an outage.
+
+        The item is lost with the restore, and the source is away again before it could
+        be written.
+        """
+        self.switch_domain()
+        self.restore(away=0.1, then=1.5)
+        self.fleet.leave_source(WatchEnd.CUT)
+        self.fleet.pass_time(seconds(10))
+        for host_id, host in self.fleet.hosts.items():
+            self.assertIn(DOMAIN, host.state.registry.domains_out, host_id)
+
     def test_entry_that_expired_and_is_in_the_copy_is_used(self):
         """Guards against dropping an upstream that is alive and listed.
 
