Apply differences only to the contents that they were made for

A host could keep one item in another state than its relay for good, with the same position: an upstream that drained stayed ready, an evacuation was unknown (rules DRAIN, EVAC, CONFIG). It takes a listing of several pages, a write between the pages, and a lost history or a restore before the next watch.

Cause: a listing has the revision of its oldest page, so its items can be ahead of it, and two hosts of one position can hold different items. Differences between two contents went by the position alone.

Change: exact differences name a digest of the contents that they apply to. A host with others asks for the whole contents.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
@@ -18,6 +18,7 @@
 )
 from celeryferry_core.forwarding.reading import Availability, ReadingReason
 from celeryferry_core.forwarding.registry import SOURCE_BACK_GRACE
+from celeryferry_core.rendezvous import hash_name
 from celeryferry_daemon._internal.forwarding.log_lines import LogWriter
 from celeryferry_daemon._internal.forwarding.ports import (
     HistoryGoneError,
@@ -49,6 +50,7 @@
     :ivar on_changed: called each time the contents have changed, with the previous
         position, the changes, and whether these are complete only for a host with that
         very position, as items may have been added and removed since unseen.
+    :ivar base_digest: digest of the contents before they were last replaced.
     :ivar position: position up to which all changes are known.
     :ivar restore_count: restores of the source that this host has seen.
     :ivar failed_item_count: items whose handling failed unexpectedly.
@@ -76,6 +78,7 @@
         "_removals_known_after",
         "_started_at",
         "_state",
+        "base_digest",
         "failed_item_count",
         "heard_at",
         "ignored_count",
@@ -115,6 +118,7 @@
         self.ignored_count = 0
         self._is_ignoring = False
         self._started_at = self.heard_at = clock.monotonic()
+        self.base_digest = 0
         self.position: Position = START
         self.restore_count = 0
 
@@ -238,6 +242,12 @@
         changed.sort(key=lambda item: item.revision)
         return after, self._make_changes(changed)
 
+    def compute_digest(self) -> int:
+        """Return a digest of the contents, the same for the same items."""
+        items = sorted(f"{item.key} {item.revision}" for item in self._items.values())
+        # Numbers of messages are signed.
+        return hash_name(*items) >> 1
+
     def apply_peer_changes(
         self, after: Position, changes: SourceChanges, is_confirmed: bool
     ) -> bool:
@@ -329,6 +339,7 @@
         now = self._clock.monotonic()
         previous = self.position
         differences = tuple(differences)
+        self.base_digest = self.compute_digest()
         self._state.record_restored(now)
         self._removals.clear()
         self._removals_known_after = changes.revision
@@ -398,6 +409,7 @@
         """Replace the contents by a listing of the same era, or by the first one."""
         now = self._clock.monotonic()
         previous = self.position
+        self.base_digest = self.compute_digest()
         listed_keys = {item.key for item in listing.items}
         removed = [
             SourceItem(item.key, listing.revision, None)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/link_messages.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/link_messages.py
@@ -86,6 +86,9 @@
     :param era: era of ``revision``.
     :param after_era: era of ``after``. If it is an earlier one, the source was restored
         in between, and the changes are those from the old contents to the new ones.
+    :param base_digest: for exact changes, digest of the contents that they apply to. A
+        listing of several pages can be ahead of its revision, so that contents of one
+        position may differ.
     """
 
     source: str
@@ -96,6 +99,7 @@
     is_exact: bool = False
     era: Era = 0
     after_era: Era = 0
+    base_digest: int = 0
 
     @property
     def position(self) -> Position:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/sharing.py
@@ -121,8 +121,12 @@
             # Each relay of the domain sends what a restore has changed. What this one
             # knows beyond the first one is in its ticks.
             return None
-        if update.is_exact and after < own < update.position:
-            return self._make_request()
+        if update.is_exact and own < update.position:
+            is_same = after == own and (
+                update.base_digest == self.follower.compute_digest()
+            )
+            if not is_same:
+                return self._make_request()
         if self.follower.apply_peer_changes(after, changes, update.is_confirmed):
             self._requested_at = None
             return None
@@ -144,6 +148,7 @@
             is_exact,
             changes.era,
             after.era,
+            self.follower.base_digest if is_exact else 0,
         )
 
     def answer(self, request: ContentsRequest) -> ContentsUpdate:
--- a/tests/daemon/test_sharing.py
+++ b/tests/daemon/test_sharing.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 from datetime import timedelta
+from functools import partial
 
 from celeryferry_core.forwarding.hosts import LinkRole
 from celeryferry_core.forwarding.positions import START, Position
@@ -45,6 +46,10 @@
     )
 
 
+def _append(changes: list, *change):
+    changes.append(change)
+
+
 class SharingTestCase(unittest.IsolatedAsyncioTestCase):
     """Makes hosts that share a source without links."""
 
@@ -314,6 +319,35 @@
         self.assertEqual(self.list_ids(self.shared), {"s0-a"})
         self.assertEqual(self.shared.follower.revision, 9)
 
+    async def test_differences_apply_only_to_the_contents_they_were_made_for(self):
+        """Guards against an item that two hosts keep in different states for good.
+
+        Both have the same position, but the listing of one was ahead of it for an item
+        on a later page.
+        """
+        for is_receiver_ahead in (True, False):
+            for era in (0, 1):
+                with self.subTest(is_receiver_ahead=is_receiver_ahead, era=era):
+                    self.shared, sender = self.make_host(), self.make_host()
+                    ahead, behind = (
+                        (self.shared, sender)
+                        if is_receiver_ahead
+                        else (sender, self.shared)
+                    )
+                    self.fill(ahead, 5, make_entry("s0-a", 3), make_entry("s0-b", 7))
+                    self.fill(behind, 5, make_entry("s0-a", 3))
+                    sent = []
+                    sender.follower.on_changed = partial(_append, sent)
+                    item = make_entry("s0-b", 7)
+                    items = (item,) if era == 0 or not is_receiver_ahead else ()
+                    listing = SourceChanges(items, 9, era)
+                    sender.follower.apply_peer_changes(START, listing, True)
+                    self.exchange(sender, *sent[0])
+                    self.assertEqual(
+                        self.shared.follower.compute_digest(),
+                        sender.follower.compute_digest(),
+                    )
+
     async def test_whole_contents_of_an_older_revision_are_ignored(self):
         sender = self.make_host()
         self.fill(self.shared, 9, make_entry("s0-a", 9))
