--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
@@ -210,15 +210,16 @@
                 case Ok(changes) if is_listing:
                     await self._apply_listing(asked, changes)
                 case Ok(changes):
-                    gone_count = 0
-                    await self._apply_watch(asked, changes)
+                    if await self._apply_watch(asked, changes):
+                        gone_count = 0
+                    else:
+                        gone_count += 1
+                        await self._pause_before_listing(gone_count)
                 case Err(HistoryGoneError()):
                     self._log.write("source_history_gone", source=self.source.name)
                     self._can_watch = False
-                    if gone_count:
-                        # Even the latest listing could not be followed.
-                        await asyncio.sleep(self._pick_retry_delay_s(gone_count))
                     gone_count += 1
+                    await self._pause_before_listing(gone_count)
                 case Err(error):
                     self._record_failure(str(error))
                     await asyncio.sleep(self._pick_retry_delay_s(self._failures))
@@ -292,7 +293,16 @@
             changes, Evidence.CONFIRMED if is_confirmed else Evidence.UNCONFIRMED
         )
 
-    async def _apply_watch(self, asked: Position, changes: SourceChanges) -> None:
+    async def _pause_before_listing(self, gone_count: int) -> None:
+        """Wait, unless this is the first listing in a row that is needed."""
+        if gone_count > 1:
+            await asyncio.sleep(self._pick_retry_delay_s(gone_count - 1))
+
+    async def _apply_watch(self, asked: Position, changes: SourceChanges) -> bool:
+        """Handle the answer of a watch.
+
+        :returns: whether the contents can be followed.
+        """
         match judge_watch(asked, self.position, changes.position):
             case AnswerUse.APPLY:
                 self._record_recovery()
@@ -301,8 +311,10 @@
                     await asyncio.sleep(COALESCE_TIME.total_seconds())
             case AnswerUse.LIST:
                 self._can_watch = False
+                return False
             case AnswerUse.STALE:
                 await self._handle_stale_answer("watch", changes.position)
+        return True
 
     async def _apply_listing(self, asked: Position, listing: SourceChanges) -> None:
         match judge_listing(asked, self.position, listing.position):
