Let the soak see versions out of force and drained upstreams

All versions of the soak had the same routes, drained upstreams stopped before the drain time was over, and no rule with a time bound was judged. So the soak could not see what the users saw: requests run by the former service, 404 on added routes, requests for removed upstreams.

Each version now moves a route between two services, and each second one adds or removes a route that callers use.

RECOVER is judged by callers of each host's own: with six hosts, a host could be without any caller for four seconds.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,33 +1,45 @@
-"""Runs the soak by hand: ``python -m tests.soak SEEDS [SECONDS]``."""
+"""Runs the soak by hand: ``python -m tests.soak --help``."""
 
+import argparse
 import asyncio
 import sys
 from datetime import timedelta
 
 from tests.soak.run import run_soak
 
-DEFAULT_LENGTH = timedelta(seconds=20)
+DEFAULT_LENGTH_S = 20.0
+
+
+def parse_seeds(text: str) -> range:
+    """Parse a number of seeds, or ``first-last``."""
+    first, _, last = text.partition("-")
+    return range(int(first), int(last) + 1) if last else range(int(first))
 
 
 def main(arguments: list[str]) -> int:
     """Run the seeds one after the other.
 
-    :param arguments: number of seeds, or ``first-last``, and the seconds of each.
     :returns: exit code, 1 if a promise was broken.
     """
-    first, _, last = arguments[0].partition("-")
-    seeds = range(int(first), int(last) + 1) if last else range(int(first))
-    length = DEFAULT_LENGTH
-    if len(arguments) > 1:
-        length = timedelta(seconds=float(arguments[1]))
+    parser = argparse.ArgumentParser(prog="python -m tests.soak", description=__doc__)
+    parser.add_argument("seeds", type=parse_seeds, help="a number, or first-last")
+    parser.add_argument("seconds", type=float, nargs="?", default=DEFAULT_LENGTH_S)
+    parser.add_argument(
+        "--restores", action="store_true", help="the store also returns from copies"
+    )
+    parser.add_argument("--hosts-per-zone", type=int, default=1)
+    options = parser.parse_args(arguments)
+    length = timedelta(seconds=options.seconds)
     failed = []
-    for seed in seeds:
-        report = asyncio.run(run_soak(seed, length))
+    for seed in options.seeds:
+        report = asyncio.run(
+            run_soak(seed, length, options.restores, options.hosts_per_zone)
+        )
         print(report.to_text(), flush=True)
         if report.violations:
             failed.append(seed)
             print("\n".join((*report.violations, *report.faults)), flush=True)
-    print(f"{len(seeds)} seeds, failed: {failed}")
+    print(f"{len(options.seeds)} seeds, failed: {failed}")
     return 1 if failed else 0
 
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,6 +12,13 @@
 MAX_GAP_S = 0.15
 # A caller uses a connection for many requests, and then opens another one elsewhere.
 MAX_REQUESTS_PER_CONNECTION = 40
+ORDER_PATH = "/order/1"
+LOOKUP_PATH = "/lookup/1"
+# Versions of the configuration move the one route and add and remove the other.
+MOVED_PATH = "/moved/1"
+ADDED_PATH = "/added/1"
+PATHS = (ORDER_PATH, LOOKUP_PATH, MOVED_PATH, ADDED_PATH)
+PATH_WEIGHTS = (4, 2, 2, 2)
 
 
 @dataclass(slots=True)
@@ -26,7 +33,7 @@
 
     request_id: str
     host: PlatformHost
-    is_order: bool
+    path: str
     sent_at: float
     ended_at: float = 0.0
     status: int | None = None
@@ -34,6 +41,11 @@
     answered_id: str = ""
     is_given_up: bool = False
 
+    @property
+    def is_order(self) -> bool:
+        """Whether it may run once at most."""
+        return self.path == ORDER_PATH
+
 
 class Caller:
     """Sends requests one after the other until it is cancelled.
@@ -75,10 +87,10 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Send one request; returns whether the connection can be used again."""
-        is_order = self._random.random() < 0.5
         request_id = f"{host.name}/{self._name}-{len(self.exchanges)}"
-        path, method = ("/order/1", "POST") if is_order else ("/lookup/1", "GET")
-        exchange = Exchange(request_id, host, is_order, time.monotonic())
+        (path,) = self._random.choices(PATHS, PATH_WEIGHTS)
+        exchange = Exchange(request_id, host, path, time.monotonic())
+        method = "POST" if exchange.is_order else "GET"
         self.exchanges.append(exchange)
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: a.example\r\n"
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,10 +10,12 @@
 
 from celeryferry_standins.platform.fleet import PlatformFleet
 from tests.soak.callers import DEADLINE_MS, Caller
-from tests.soak.faults import Faults
+from tests.soak.faults import BEATING_SERVICE, Faults
 from tests.soak.judge import find_violations
 
-SERVICES = ("s0", "s1", "orders")
+# Versions of the configuration move a route between the two in turn.
+MOVED_SERVICES = ("left", "right")
+SERVICES = ("s0", "s1", "orders", *MOVED_SERVICES)
 CALLER_COUNT = 12
 WORK_TIME = timedelta(milliseconds=40)
 START_TIME_S = 4.0
@@ -60,29 +62,50 @@
 
 
 def make_configuration(version: int) -> dict:
-    """Return a version of the configuration; all of them have the same routes."""
+    """Return a version of the configuration.
+
+    Each version moves a route to another service, and each second one adds or removes a
+    route.
+    """
+    moved = {
+        "name": "moved",
+        "path_prefix": "/moved/",
+        "type": "idempotent",
+        "backend": MOVED_SERVICES[version % 2],
+    }
+    added = dict(moved, name="added", path_prefix="/added/", backend="orders")
+    has_added = version // 2 % 2 == 1
     common = {
         "host": "a.example",
         "timeout_ms": DEADLINE_MS,
         "target_latency_ms": 200 + version,
         "attempts": 2,
     }
-    routes = [common | route for route in ROUTES]
+    routes = [
+        common | route for route in (*ROUTES, moved, *((added,) if has_added else ()))
+    ]
     backends = [
         {"name": name, "max_conns": 80, "warmup_s": 1.0, "warmup_per_s": 50.0}
-        for name in SERVICES
+        for name in (*SERVICES, BEATING_SERVICE)
     ]
     return {"version": version, "routes": routes, "backends": backends}
 
 
-async def run_soak(seed: int, length: timedelta) -> Report:
+async def run_soak(
+    seed: int,
+    length: timedelta,
+    restores_store: bool = False,
+    hosts_per_zone: int = 1,
+) -> Report:
     """Play the faults of a seed against a fleet.
 
     :param length: time in which faults begin.
+    :param restores_store: whether the store also comes back from copies.
+    :param hosts_per_zone: hosts in each of the three failure domains.
     """
     source = random.Random(seed)
     with tempfile.TemporaryDirectory() as folder:
-        fleet = PlatformFleet(Path(folder), SERVICES)
+        fleet = PlatformFleet(Path(folder), SERVICES, hosts_per_zone=hosts_per_zone)
         for upstream in fleet.upstreams:
             upstream.work_time = WORK_TIME
         callers = [
@@ -93,7 +116,7 @@
         try:
             await fleet.start(make_configuration(1))
             await asyncio.sleep(START_TIME_S)
-            faults = Faults(fleet, source, make_configuration)
+            faults = Faults(fleet, source, make_configuration, restores_store)
             tasks = [asyncio.create_task(caller.run()) for caller in callers]
             await faults.run(length)
             violations = await check_recovery(callers, fleet)
@@ -103,20 +126,28 @@
             await asyncio.gather(*tasks, return_exceptions=True)
             await fleet.stop()
     exchanges = [each for caller in callers for each in caller.exchanges]
-    violations += find_violations(exchanges, fleet.upstreams, faults)
+    violations += find_violations(exchanges, fleet.upstreams, faults, faults.history)
     statuses = Counter(each.status for each in exchanges if each.ended_at)
     return Report(seed, statuses, violations, faults.log)
 
 
 async def check_recovery(callers: list[Caller], fleet: PlatformFleet) -> list[str]:
-    """Return a violation for each host that does not serve after the faults."""
+    """Return a violation for each host that does not serve after the faults.
+
+    :param callers: receives the callers that ask each host.
+    """
     await asyncio.sleep(RECOVERY_TIME_S)
-    counts = [len(caller.exchanges) for caller in callers]
+    own_callers = [
+        Caller("recovery", [host], random.Random(host.name)) for host in fleet.hosts
+    ]
+    callers += own_callers
+    tasks = [asyncio.create_task(caller.run()) for caller in own_callers]
     await asyncio.sleep(RECOVERY_TIME_S)
-    served = {
-        exchange.host.name
-        for caller, count in zip(callers, counts, strict=True)
-        for exchange in caller.exchanges[count:]
-        if exchange.status == 200
-    }
-    return [f"RECOVER {h.name}" for h in fleet.hosts if h.name not in served]
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return [
+        f"RECOVER {host.name}"
+        for caller, host in zip(own_callers, fleet.hosts, strict=True)
+        if not any(exchange.status == 200 for exchange in caller.exchanges)
+    ]
