Check that a restore drops no live upstream and no position goes back

Two faults passed the checks of the fleet: an upstream that a copy lacks was removed at once and listed again seconds later, and a host fell back to the era before a restore for some hundred milliseconds.

Change: the checker of a host fails if an upstream whose process has not ended is dropped within the grace period after a restore, and if the position of the host goes back.

Evidence: with restart_grace_period taken away, 30 examples of the machine found nothing before; with the check the 9th one fails ("u-2 is dropped within the grace period").

--- a/tests/daemon/restore_checker.py
+++ b/tests/daemon/restore_checker.py
@@ -34,7 +34,7 @@
         self._check_configuration()
         self._check_upstreams()
         self._check_domains()
-        self._position = self._host.follower.position
+        self._check_position()
 
     def _fail(self, text: str) -> None:
         self._host.fleet.violations.append(f"{self._host.host_id}: {text}")
@@ -45,6 +45,12 @@
         now = self._host.fleet.clock.monotonic()
         return restored_at is None or now - restored_at >= duration
 
+    def _check_position(self) -> None:
+        position = self._host.follower.position
+        if position < self._position:
+            self._fail(f"position {position} after {self._position}")
+        self._position = position
+
     def _check_configuration(self) -> None:
         configuration = self._host.state.configuration
         version = 0 if configuration is None else configuration.version
@@ -58,6 +64,10 @@
         for instance_id, known in self._listed.items():
             if instance_id not in listed:
                 self._known_bad.setdefault(instance_id, known)
+                if self._is_alive(known) and not self._is_since_restore(
+                    SOURCE_BACK_GRACE
+                ):
+                    self._fail(f"{instance_id} is dropped within the grace period")
         for instance_id, upstream in listed.items():
             if upstream.is_draining:
                 self._known_bad[instance_id] = upstream
@@ -69,6 +79,11 @@
                 self._fail(f"{instance_id} is ready by {upstream}, after {known}")
         self._listed = listed
 
+    def _is_alive(self, upstream: Upstream) -> bool:
+        """Return whether the process that an entry describes has not ended."""
+        process = self._host.fleet.upstreams.get(upstream.instance_id)
+        return process is not None and process.started_ms == upstream.started_ms
+
     def _check_domains(self) -> None:
         domains_out = self._host.state.registry.domains_out
         for domain in self._domains_out - domains_out:
