Refuse an answer of the store that states its era twice

Of two Store-Era headers the first was taken, whatever the second said. An era that is not certain orders nothing, so such an answer counts as one that can't be read.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/store.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/store.py
@@ -188,7 +188,7 @@
             ) as response:
                 body = await read_bounded(response, MAX_BODY_BYTES)
                 status, is_usable = response.status, is_answer(response)
-                era = _read_era(response.headers.get(ERA_HEADER, "0"))
+                era = _read_era(response.headers.getall(ERA_HEADER, ["0"]))
         except (
             TimeoutError,
             aiohttp.ClientError,
@@ -213,8 +213,9 @@
                 return Err(SourceUnavailableError(f"{path}: {error}"))
 
 
-def _read_era(text: str) -> int | None:
+def _read_era(values: list[str]) -> int | None:
     """Return the era that a header states, None if it can't be read."""
+    text = values[0] if len(values) == 1 else ""
     if not (text.isascii() and text.isdigit() and len(text) <= len(str(MAX_ERA))):
         return None
     era = int(text)
