Judge drains in the soak from the moment at which they bind

Trace (logs of the hosts): the removal was acknowledged within 20 ms of the store's return from a copy; the hosts of that domain noticed the return 2.3 s later, as the store had left their call without an answer, kept the upstream for the grace period and dropped it 5.0 s after the removal. RULES: the acknowledgement of a drain is the store's, given while it is stable, which takes the contact time of 4 s without a disruption. So the case is allowed, and the judge was stricter than the rule for hosts that were in touch by then.

Change: an acknowledgement by a store that is not stable binds from the moment at which it is, in place of not at all, so that a host which never drops the upstream is still found.

Evidence: test_drain_acknowledged_by_an_unstable_store; the other tests of the judge are unchanged and pass.

--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -95,6 +95,18 @@
             for span in spans
         )
 
+    def find_stable_acknowledgement(self, acked_at: float) -> float:
+        """Return from when on an acknowledgement binds the hosts.
+
+        The store acknowledges nothing that binds them before it has been stable for the
+        contact time.
+        """
+        at = acked_at
+        for span in sorted(self.disruptions.get(STORE, ()), key=lambda s: s.began_at):
+            if span.began_at <= at < span.ended_at + CONTACT_S:
+                at = span.ended_at + CONTACT_S
+        return at
+
     def list_allowed(
         self, host_name: str, sent_at: float, ended_at: float
     ) -> list[Version]:
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -206,6 +206,19 @@
         self.history.disruptions[STORE] = [Span(108.0, 109.5)]
         self.assertEqual(self.judge(), [], "out of touch")
 
+    def test_drain_acknowledged_by_an_unstable_store(self):
+        """Guards against judging a drain before the store has been stable.
+
+        It binds the hosts from the contact time after the store's return on.
+        """
+        self.history.disruptions[STORE] = [Span(108.0, 109.9)]
+        self.history.drains.append(Drain(self.upstreams[1], Span(110.0, 118.0)))
+        self.send(MOVED_PATH, 114.2, "right")
+        self.send(MOVED_PATH, 116.8, "right")
+        self.assertEqual(self.judge(), [])
+        self.send(MOVED_PATH, 117.1, "right")
+        self.assertEqual(self.judge(), ["DRAIN"])
+
     def test_versions_of_the_soak(self):
         """Guards against versions that differ in nothing that callers see."""
         routes = [
