Run the test of a response that waits to be sent

It was a coroutine in a class without an event loop, so unittest called it and never awaited it: it passed without a check. It is now in the class whose listener it uses. There it passes, 23 of 23 tests of the module, on the code as it was.

--- a/tests/daemon/test_callers_listener.py
+++ b/tests/daemon/test_callers_listener.py
@@ -184,14 +184,6 @@
         writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
         await asyncio.wait_for(reader.read(), TEST_TIMEOUT_S)
 
-
-class TestRejections(unittest.TestCase):
-    """Guards the mapping from rejections to HTTP statuses."""
-
-    def test_every_rejection_has_a_status(self):
-        """Guards against an internal error when a new rejection has no status."""
-        self.assertEqual(set(STATUS_CODES), set(Rejection))
-
     async def test_response_that_waits_to_be_sent_is_unanswered(self):
         """Guards against an exit of the process before a slow caller has its answer."""
         bounds = CallerBounds(body_bytes=100)
@@ -211,6 +203,14 @@
         self.assertEqual(self.server.count_unanswered(), 1)
 
 
+class TestRejections(unittest.TestCase):
+    """Guards the mapping from rejections to HTTP statuses."""
+
+    def test_every_rejection_has_a_status(self):
+        """Guards against an internal error when a new rejection has no status."""
+        self.assertEqual(set(STATUS_CODES), set(Rejection))
+
+
 class CountingHandler:
     """Handler that counts requests and answers them when it is told to.
 
