Judge callers' requests by the limits in force, on open connections too

Cause: the listener read the limits when it accepted a connection and gave them to aiohttp's parser, which can't change them. The same cause, a value copied at the beginning of a connection, acts on related paths, each tried by raising and lowering on idle, mid-head, mid-body and pipelined connections: - The idle time was that of the beginning of the connection. - The time for a head counted tenths of whatever time was in force, so raising it cut heads early, and lowering it cut what was allowed when it began. - Sizes were judged when a request was handled. One that waited behind another was refused after a lowering, and a chunked body got 413 although the limit had been raised while it arrived. - Lines over the limit got 400 and not 431, and one unfinished head could hold a quarter of the limit's square, 67 MB at 16 KiB.

Why this works: nothing of the limits is kept for longer than one request. A request is judged by the larger ones of the limits at its first byte and those in force now; a lowered limit comes into force after 200 ms, for what was sent just before. The idle time is always the latest. Times are counted in the intervals of the checks, so a pause of the process cuts nothing. The parser's own bounds are a fixed 16 MiB; the connection counts what arrives of an unfinished head and refuses it with 431 beyond three times the limit.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/bounded_site.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/bounded_site.py
@@ -1,7 +1,7 @@
-"""Listening socket that limits open connections and the time for a request head."""
+"""Listening socket that limits open connections and the times of callers."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -9,28 +9,30 @@
 
 from aiohttp import web
 
-from celeryferry_daemon._internal.request_heads import (
-    CHECKS_PER_TIMEOUT,
-    HeadTimeoutHandler,
+from celeryferry_daemon._internal.bounded_connection import (
+    BoundedConnection,
+    ReadBounds,
 )
 
 BACKLOG = 1024
+CHECKS_PER_TIMEOUT = 10
+# A lowered limit is noticed with the next check, so checks are never far apart.
+MAX_CHECK_INTERVAL = timedelta(seconds=1)
+MIN_CHECK_INTERVAL = timedelta(milliseconds=10)
 
 
 @dataclass(frozen=True, slots=True)
-class ListenerBounds:
-    """Limits of one listener.
+class ListenerOptions:
+    """Properties of a listener that do not change while it is open.
 
     :param max_connections: maximum number of open connections.
-    :param head_timeout: time within which a request head must be complete.
-    :param options: keyword arguments for aiohttp's connection handler.
+    :param handler_options: keyword arguments for aiohttp's connection handler.
     :param starts_timeout_on_connect: whether the timeout of the first head starts when
         the connection opens; otherwise it starts with the first byte.
     """
 
     max_connections: int
-    head_timeout: timedelta
-    options: Mapping[str, Any]
+    handler_options: Mapping[str, Any]
     starts_timeout_on_connect: bool = True
 
 
@@ -50,7 +52,8 @@
     :param runner: runner of the application or server.
     :param ip: IP address to bind.
     :param port: port to bind.
-    :param read_bounds: returns the limits that apply to the next connection.
+    :param options: properties that do not change.
+    :param read_bounds: returns the limits in force.
     """
 
     def __init__(
@@ -58,16 +61,19 @@
         runner: web.BaseRunner,
         ip: str,
         port: int,
-        read_bounds: Callable[[], ListenerBounds],
+        options: ListenerOptions,
+        read_bounds: ReadBounds,
     ) -> None:
         super().__init__(runner, backlog=BACKLOG)
         self._address = ip, port
+        self._options = options
         self._read_bounds = read_bounds
+        self._check_interval = MAX_CHECK_INTERVAL
         self._timer: asyncio.TimerHandle | None = None
         # Accepted connections that are not yet in server.connections: the event loop
         # may accept up to BACKLOG of them before the server registers the first. The
         # references are weak, because a connection may fail before it is established.
-        self._connecting: WeakSet[HeadTimeoutHandler] = WeakSet()
+        self._connecting: WeakSet[BoundedConnection] = WeakSet()
 
     @property
     def name(self) -> str:
@@ -76,7 +82,7 @@
         return f"http://{ip}:{port}"
 
     async def start(self) -> None:
-        """Bind the address and start the checks for unfinished request heads.
+        """Bind the address and start the checks of the times of connections.
 
         :raises OSError: if the address cannot be bound.
         """
@@ -88,35 +94,39 @@
         self._schedule_check()
 
     async def stop(self) -> None:
-        """Stop listening and end the checks of request heads."""
+        """Stop listening and end the checks."""
         if self._timer is not None:
             self._timer.cancel()
         await super().stop()
 
     def _accept(self) -> asyncio.Protocol:
         server = self._runner.server
-        bounds = self._read_bounds()
         if server is None:
             return _ClosingProtocol()
-        if len(server.connections) + len(self._connecting) >= bounds.max_connections:
+        open_count = len(server.connections) + len(self._connecting)
+        if open_count >= self._options.max_connections:
             return _ClosingProtocol()
-        handler = HeadTimeoutHandler(
+        connection = BoundedConnection(
             server,
+            self._read_bounds,
             self._connecting.discard,
-            bounds.starts_timeout_on_connect,
+            self._options.starts_timeout_on_connect,
             loop=asyncio.get_running_loop(),
-            **bounds.options,
+            **self._options.handler_options,
         )
-        self._connecting.add(handler)
-        return handler
+        self._connecting.add(connection)
+        return connection
 
     def _schedule_check(self) -> None:
-        seconds = self._read_bounds().head_timeout.total_seconds() / CHECKS_PER_TIMEOUT
+        bounds = self._read_bounds()
+        interval = min(bounds.head_time, bounds.idle_time) / CHECKS_PER_TIMEOUT
+        interval = max(MIN_CHECK_INTERVAL, min(MAX_CHECK_INTERVAL, interval))
+        self._check_interval = interval
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(seconds, self._check_request_heads)
+        self._timer = loop.call_later(interval.total_seconds(), self._check_times)
 
-    def _check_request_heads(self) -> None:
+    def _check_times(self) -> None:
         self._schedule_check()
         server = self._runner.server
         for connection in server.connections if server is not None else ():
-            connection.check_head()
+            connection.check_times(self._check_interval)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
@@ -126,7 +126,10 @@
             RequestMetrics(self.metrics_registry),
         )
         self._callers_server = CallersServer(
-            self._callers, self._state, settings.max_descriptors
+            self._callers,
+            self._state.caller_bounds,
+            self._clock,
+            settings.max_descriptors,
         )
         self._tasks = TaskSet()
         self._servers: list[asyncio.Server] = []
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/callers.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/callers.py
@@ -1,6 +1,7 @@
 """Handles requests of callers."""
 
 import asyncio
+from collections.abc import Callable
 from datetime import timedelta
 
 from aiohttp import web
@@ -113,23 +114,26 @@
                 timeout.reschedule(min(latest, timeout.when()))
 
     async def handle(
-        self, request: web.BaseRequest, bounds: CallerBounds
+        self, request: web.BaseRequest, read_bounds: Callable[[], CallerBounds]
     ) -> web.StreamResponse:
         """Answer one request.
 
         :param request: the request. aiohttp cancels this call if the caller closes its
             connection.
-        :param bounds: limits on the size of head and body.
+        :param read_bounds: returns the limits on the size of head and body.
         """
         started = self._clock.monotonic()
         self.running_count += 1
         try:
-            return await self._answer(request, bounds, started)
+            return await self._answer(request, read_bounds, started)
         finally:
             self.running_count -= 1
 
     async def _answer(
-        self, request: web.BaseRequest, bounds: CallerBounds, started: timedelta
+        self,
+        request: web.BaseRequest,
+        read_bounds: Callable[[], CallerBounds],
+        started: timedelta,
     ) -> web.StreamResponse:
         configuration = self._state.configuration
         if configuration is None:
@@ -146,7 +150,7 @@
         time_left = self._wire.read_time_left(headers)
         if time_left is None:
             time_left = DEFAULT_REQUEST_TIMEOUT
-        match await self._read_body(request, bounds, time_left):
+        match await self._read_body(request, read_bounds, time_left):
             case Err(rejection):
                 return self._reject(request, request_id, rejection)
             case Ok(body):
@@ -168,7 +172,10 @@
         return self._respond(self._wire.make_response(result))
 
     async def _read_body(
-        self, request: web.BaseRequest, bounds: CallerBounds, time_left: timedelta
+        self,
+        request: web.BaseRequest,
+        read_bounds: Callable[[], CallerBounds],
+        time_left: timedelta,
     ) -> Result[bytes, Rejection]:
         if self._drain_schedule is not None:
             due_in = self._drain_schedule.answers_due_at - self._clock.monotonic()
@@ -176,7 +183,7 @@
         timeout = asyncio.timeout(time_left.total_seconds())
         self._body_timeouts.add(timeout)
         try:
-            return await read_bounded_body(request, bounds, timeout)
+            return await read_bounded_body(request, read_bounds, timeout)
         finally:
             self._body_timeouts.discard(timeout)
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/listener.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/listener.py
@@ -1,6 +1,8 @@
 """Listener for callers. The operators configure its limits."""
 
 import asyncio
+from collections.abc import Mapping
+from typing import Any
 
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
@@ -8,11 +10,12 @@
 from aiohttp.streams import StreamReader
 
 from celeryferry_core.addresses import split_address
+from celeryferry_core.environment import Clock
+from celeryferry_core.forwarding.caller_bounds import CallerBoundsInForce
 from celeryferry_core.forwarding.models import CallerBounds
-from celeryferry_daemon._internal.bounded_site import BoundedSite, ListenerBounds
+from celeryferry_daemon._internal.bounded_connection import BoundedConnection
+from celeryferry_daemon._internal.bounded_site import BoundedSite, ListenerOptions
 from celeryferry_daemon._internal.forwarding.callers import CallersHandler
-from celeryferry_daemon._internal.forwarding.state import HostState
-from celeryferry_daemon._internal.request_heads import HeadTimeoutHandler
 
 # An open connection takes about 10 KB, even if it never sends a request.
 MAX_CONNECTIONS = 4096
@@ -21,21 +24,23 @@
 # Fraction of the other descriptors that connections of callers may take. The rest is
 # for connections to upstreams, to other hosts and to the store.
 CALLER_DESCRIPTOR_FRACTION = 0.6
-# A name of one character, a colon and the end of the line.
-MIN_HEADER_LINE_BYTES = 4
-# In force until the first configuration is received.
-DEFAULT_BOUNDS = CallerBounds()
+# Bodies are forwarded with their headers, so their bytes must not change.
+HANDLER_OPTIONS: Mapping[str, Any] = {"access_log": None, "auto_decompress": False}
 
 
 class CallersServer(web.Server):
-    """Passes requests to the handler, with the limits of the current configuration.
+    """Passes requests to the handler, with the limits in force.
 
-    :param state: holds the configuration in force.
+    :param bounds: limits on callers in force.
     :param max_descriptors: file descriptors that the process may use.
     """
 
     def __init__(
-        self, handler: CallersHandler, state: HostState, max_descriptors: int
+        self,
+        handler: CallersHandler,
+        bounds: CallerBoundsInForce,
+        clock: Clock,
+        max_descriptors: int,
     ) -> None:
         super().__init__(
             self._handle,
@@ -43,33 +48,19 @@
             handler_cancellation=True,
         )
         self._callers_handler = handler
-        self._state = state
-        self._max_connections = compute_max_connections(max_descriptors)
+        self._bounds = bounds
+        self._clock = clock
+        # A new connection counts as idle until the first byte of a head.
+        self.options = ListenerOptions(
+            compute_max_connections(max_descriptors),
+            HANDLER_OPTIONS,
+            starts_timeout_on_connect=False,
+        )
         self._is_draining = False
 
     def read_bounds(self) -> CallerBounds:
-        """Return the limits on callers in the configuration in force."""
-        configuration = self._state.configuration
-        return DEFAULT_BOUNDS if configuration is None else configuration.callers
-
-    def read_listener_bounds(self) -> ListenerBounds:
-        """Return the limits for the next accepted connection.
-
-        The time limit for a request head starts with its first byte, also on a new
-        connection, which counts as idle until then. For this, the last argument,
-        ``starts_timeout_on_connect``, is False.
-        """
-        bounds = self.read_bounds()
-        options = {
-            "access_log": None,
-            # Bodies are forwarded with their headers, so their bytes must not change.
-            "auto_decompress": False,
-            "max_line_size": bounds.header_bytes,
-            "max_field_size": bounds.header_bytes,
-            "max_headers": bounds.header_bytes // MIN_HEADER_LINE_BYTES,
-            "keepalive_timeout": bounds.idle_time.total_seconds(),
-        }
-        return ListenerBounds(self._max_connections, bounds.head_time, options, False)
+        """Return the limits on callers in force."""
+        return self._bounds.read(self._clock.monotonic())
 
     def count_unanswered(self) -> int:
         """Return how many connections have a request or unsent bytes of a response."""
@@ -88,26 +79,21 @@
         self,
         message: RawRequestMessage,
         payload: StreamReader,
-        protocol: web.RequestHandler,
+        protocol: BoundedConnection,
         writer: AbstractStreamWriter,
         task: asyncio.Task,
     ) -> web.BaseRequest:
-        return web.BaseRequest(
-            message,
-            payload,
-            protocol,
-            writer,
-            task,
-            self._loop,
-            client_max_size=self.read_bounds().body_bytes,
-        )
+        protocol.take_queued_bounds()
+        return web.BaseRequest(message, payload, protocol, writer, task, self._loop)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         connection = request.protocol
-        assert isinstance(connection, HeadTimeoutHandler)
-        connection.start_request(request)
+        assert isinstance(connection, BoundedConnection)
+        connection.start_request()
         try:
-            response = await self._callers_handler.handle(request, self.read_bounds())
+            response = await self._callers_handler.handle(
+                request, connection.read_request_bounds
+            )
             # A request that was read behind this one needs its response, too.
             if self._is_draining and not connection.has_queued_request:
                 response.force_close()
@@ -137,5 +123,5 @@
     runner = web.ServerRunner(server)
     await runner.setup()
     ip, port = split_address(address)
-    await BoundedSite(runner, ip, port, server.read_listener_bounds).start()
+    await BoundedSite(runner, ip, port, server.options, server.read_bounds).start()
     return runner
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
@@ -9,6 +9,7 @@
 
 from celeryferry_core.environment import RandomSource
 from celeryferry_core.forwarding.budgets import BudgetLimits, ExtraAttemptBudgets
+from celeryferry_core.forwarding.caller_bounds import CallerBoundsInForce
 from celeryferry_core.forwarding.cold_senders import ColdSenders
 from celeryferry_core.forwarding.hosts import HostInfo
 from celeryferry_core.forwarding.models import ForwardingConfiguration, Upstream
@@ -60,6 +61,7 @@
     :param log: receives one line per change.
     :param now: monotonic time of the start.
     :ivar configuration: configuration in force, None until the first is received.
+    :ivar caller_bounds: limits on callers in force.
     :ivar rules: rules of the configuration in force.
     :ivar services: services that these rules name.
     :ivar rejected_count: invalid items so far, each counted once while it stays
@@ -81,6 +83,7 @@
         "_pool",
         "_rejected_keys",
         "_reports_seen",
+        "caller_bounds",
         "configuration",
         "invalid_pause_count",
         "rejected_count",
@@ -108,6 +111,7 @@
         self._pool = pool
         self._log = log
         self.configuration: ForwardingConfiguration | None = None
+        self.caller_bounds = CallerBoundsInForce()
         self.rules = RuleTable(())
         self.services: frozenset[str] = frozenset()
         self._rejected_keys: set[str] = set()
@@ -203,7 +207,7 @@
                     self._remove_upstream(instance_id, now)
             case ConfigurationPublished(key, configuration):
                 self._rejected_keys.discard(key)
-                self._replace_configuration(configuration)
+                self._replace_configuration(configuration, now)
             case DomainEvacuated(failure_domain, revision):
                 self._record_evacuation(failure_domain, revision)
                 self._replace_domains_out(self.registry.domains_out | {failure_domain})
@@ -432,11 +436,14 @@
             self.registry.domains_out = domains_out
             self._log.write("domains_out_changed", domains_out=sorted(domains_out))
 
-    def _replace_configuration(self, configuration: ForwardingConfiguration) -> None:
+    def _replace_configuration(
+        self, configuration: ForwardingConfiguration, now: timedelta
+    ) -> None:
         previous = self.configuration
         if previous is not None and configuration.version <= previous.version:
             return
         self.configuration = configuration
+        self.caller_bounds.replace(configuration.callers, now)
         self.rules = RuleTable(configuration.rules)
         self.services = list_services(configuration.rules)
         self.session_context.selector.services = configuration.services
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/peers/server.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/peers/server.py
@@ -9,18 +9,21 @@
 from aioprometheus import Registry, render
 
 from celeryferry_core.environment import Clock
+from celeryferry_core.forwarding.models import CallerBounds
 from celeryferry_core.models.messages import (
     DocumentsReply,
     DocumentsRequest,
     ProbeReply,
     ProbeRequest,
 )
-from celeryferry_daemon._internal.bounded_site import BoundedSite, ListenerBounds
-from celeryferry_daemon._internal.request_heads import HEAD_TIMEOUT, track_request
+from celeryferry_daemon._internal.bounded_connection import track_request
+from celeryferry_daemon._internal.bounded_site import BoundedSite, ListenerOptions
 
 MAX_PEER_BODY_BYTES = 256 * 1024
 MAX_HEADER_LINE_BYTES = 8190
 MAX_HEADERS = 64
+# A connection with an unfinished head counts towards the connection limit.
+HEAD_TIMEOUT = timedelta(seconds=10)
 # Each open connection uses memory, even if it never sends a request. A caller keeps a
 # few connections open; a daemon keeps many to each of its peers.
 MAX_CALLER_CONNECTIONS = 1024
@@ -36,7 +39,6 @@
     "max_line_size": MAX_HEADER_LINE_BYTES,
     "max_field_size": MAX_HEADER_LINE_BYTES,
     "max_headers": MAX_HEADERS,
-    "keepalive_timeout": KEEPALIVE_TIME.total_seconds(),
     "auto_decompress": False,
 }
 PROBE_PATH = "/peer/v1/probe"
@@ -115,9 +117,15 @@
     )
     await runner.setup()
     ip, _, port = address.rpartition(":")
-    bounds = ListenerBounds(connections, head_timeout, HANDLER_OPTIONS)
+    options = ListenerOptions(connections, HANDLER_OPTIONS)
+    bounds = CallerBounds(
+        MAX_HEADERS * MAX_HEADER_LINE_BYTES,
+        MAX_PEER_BODY_BYTES,
+        head_timeout,
+        KEEPALIVE_TIME,
+    )
     try:
-        await BoundedSite(runner, ip, int(port), lambda: bounds).start()
+        await BoundedSite(runner, ip, int(port), options, lambda: bounds).start()
     except OSError:
         await runner.cleanup()
         raise
--- a/tests/daemon/test_callers_listener.py
+++ b/tests/daemon/test_callers_listener.py
@@ -6,11 +6,12 @@
 import unittest
 import zlib
 from datetime import timedelta
-from types import SimpleNamespace
 
 from aiohttp import web
 
-from celeryferry_core.forwarding.models import CallerBounds, ForwardingConfiguration
+from celeryferry_core.forwarding.caller_bounds import CallerBoundsInForce
+from celeryferry_core.forwarding.models import CallerBounds
+from celeryferry_daemon._internal.clock import SystemClock
 from celeryferry_daemon._internal.forwarding.listener import (
     MAX_CONNECTIONS,
     CallersServer,
@@ -32,6 +33,7 @@
 )
 TIME_LEFT = timedelta(seconds=0.4)
 MAX_DESCRIPTORS = 1535
+CLOCK = SystemClock()
 # Ends a test that hangs.
 TEST_TIMEOUT_S = 10.0
 TEST_TIMEOUT = timedelta(seconds=TEST_TIMEOUT_S)
@@ -45,9 +47,9 @@
 class BodyLengthHandler:
     """Handler that answers with the length of the body, or rejects the request."""
 
-    async def handle(self, request, bounds):
+    async def handle(self, request, read_bounds):
         """Read the body within the limits and answer."""
-        result = await read_bounded_body(request, bounds, make_timeout())
+        result = await read_bounded_body(request, read_bounds, make_timeout())
         if result.is_err():
             return web.Response(status=STATUS_CODES[result.unwrap_err()])
         return web.Response(text=str(len(result.unwrap())))
@@ -62,9 +64,10 @@
     """
 
     async def asyncSetUp(self):
-        configuration = ForwardingConfiguration(1, (), {}, BOUNDS)
-        self.state = SimpleNamespace(configuration=configuration)
-        self.server = CallersServer(BodyLengthHandler(), self.state, MAX_DESCRIPTORS)
+        self.bounds = CallerBoundsInForce(BOUNDS)
+        self.server = CallersServer(
+            BodyLengthHandler(), self.bounds, CLOCK, MAX_DESCRIPTORS
+        )
         runner = await start_callers_listener(self.server, "127.0.0.1:0")
         self.addAsyncCleanup(runner.cleanup)
         self.ip, self.port = runner.addresses[0]
@@ -105,7 +108,7 @@
     async def test_limit_follows_the_configuration(self):
         """Guards against applying the limits of an earlier configuration."""
         bounds = CallerBounds(body_bytes=2_000_000)
-        self.state.configuration = ForwardingConfiguration(2, (), {}, bounds)
+        self.bounds.replace(bounds, CLOCK.monotonic())
         head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000000\r\n\r\n"
         self.assertEqual(await self.send(head + b"x" * 2_000_000), 200)
 
@@ -137,9 +140,9 @@
 
     async def test_connections_leave_descriptors_for_upstreams(self):
         """Guards against callers that take all descriptors of a small machine."""
-        bounds = self.server.read_listener_bounds()
-        self.assertLess(bounds.max_connections, MAX_DESCRIPTORS * 0.6)
-        self.assertGreater(bounds.max_connections, MAX_DESCRIPTORS * 0.4)
+        max_connections = self.server.options.max_connections
+        self.assertLess(max_connections, MAX_DESCRIPTORS * 0.6)
+        self.assertGreater(max_connections, MAX_DESCRIPTORS * 0.4)
         self.assertEqual(compute_max_connections(1), 1)
         self.assertEqual(compute_max_connections(100_000), MAX_CONNECTIONS)
 
@@ -187,7 +190,7 @@
     async def test_response_that_waits_to_be_sent_is_unanswered(self):
         """Guards against an exit of the process before a slow caller has its answer."""
         bounds = CallerBounds(body_bytes=100)
-        self.state.configuration = ForwardingConfiguration(2, (), {}, bounds)
+        self.bounds.replace(bounds, CLOCK.monotonic())
         reader, writer = await self.connect()
         writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n")
         await wait_until(self.is_unanswered, TEST_TIMEOUT, "the request is counted")
@@ -222,7 +225,7 @@
         self.count = 0
         self.may_answer = asyncio.Event()
 
-    async def handle(self, request, bounds):
+    async def handle(self, request, read_bounds):
         """Count the request and answer it."""
         self.count += 1
         await self.may_answer.wait()
@@ -239,10 +242,10 @@
     REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 
     async def asyncSetUp(self):
-        configuration = ForwardingConfiguration(1, (), {}, BOUNDS)
-        state = SimpleNamespace(configuration=configuration)
         self.handler = CountingHandler()
-        self.server = CallersServer(self.handler, state, MAX_DESCRIPTORS)
+        self.server = CallersServer(
+            self.handler, CallerBoundsInForce(BOUNDS), CLOCK, MAX_DESCRIPTORS
+        )
         runner = await start_callers_listener(self.server, "127.0.0.1:0")
         self.addAsyncCleanup(runner.cleanup)
         self.reader, self.writer = await asyncio.open_connection(*runner.addresses[0])
@@ -330,9 +333,9 @@
 class EchoHandler:
     """Handler that answers with the body as it was read."""
 
-    async def handle(self, request, bounds):
+    async def handle(self, request, read_bounds):
         """Read the body within the limits and return it."""
-        result = await read_bounded_body(request, bounds, make_timeout())
+        result = await read_bounded_body(request, read_bounds, make_timeout())
         if result.is_err():
             return web.Response(status=STATUS_CODES[result.unwrap_err()])
         return web.Response(body=result.unwrap())
@@ -357,12 +360,10 @@
     }
 
     async def asyncSetUp(self):
-        state = SimpleNamespace(
-            configuration=ForwardingConfiguration(1, (), {}, BOUNDS)
-        )
-        runner = await start_callers_listener(
-            CallersServer(EchoHandler(), state, MAX_DESCRIPTORS), "127.0.0.1:0"
+        server = CallersServer(
+            EchoHandler(), CallerBoundsInForce(BOUNDS), CLOCK, MAX_DESCRIPTORS
         )
+        runner = await start_callers_listener(server, "127.0.0.1:0")
         self.addAsyncCleanup(runner.cleanup)
         self.address = runner.addresses[0]
 
