Judge requests behind one that asks for an upgrade by their own limits

Cause: aiohttp keeps what arrives behind a request to upgrade and parses it when that one is answered, outside the method in which the connection recorded the limits of each request. Where the parser keeps bytes back, "no message yet" was taken for "nothing will come".

Why this works: requests without recorded limits are found by counting the library's queue, also after each answer. How much of a body is left is only counted if its head was passed on up to its very end. An endless head closes the connection at once only if no request waits.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/bounded_connection.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/bounded_connection.py
@@ -48,8 +48,8 @@
 
     Times are counted in the intervals of ``check_times`` and not by a clock, so that a
     pause of the process does not close a connection whose request waits in the socket
-    buffer. A partial head that arrives in one segment with the end of a chunked body is
-    not detected; it counts from its next byte on.
+    buffer. A partial head that arrives in one segment with the end of a chunked body
+    counts from its next byte on, and so does one behind a body that the parser kept.
 
     :param server: server that handles the connection.
     :param read_bounds: returns the limits in force.
@@ -97,7 +97,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to wait for the first head."""
         self._body: StreamReader | None = None
-        # Bytes of the body that have not arrived, None if the body states no length.
+        # Bytes of the body that have not arrived, None if that is not known.
         self._body_left_bytes: int | None = None
         # Limits at the first byte of the unfinished head, None if there is none.
         self._head_bounds: CallerBounds | None = None
@@ -153,6 +153,10 @@
                 self._head_bytes = 0
                 self._head_tail = b""
                 return b""
+            message, body = self._messages[-1]
+            if isinstance(message, RawRequestMessage) and not message.chunked:
+                length = message.headers.get("Content-Length")
+                self._body_left_bytes = None if body.is_eof() else int(length or 0)
             return data[end:]
         self._head_bytes += len(data)
         self._head_tail = (self._head_tail + data)[1 - len(HEAD_END) :]
@@ -175,10 +179,24 @@
 
         :returns: whether they complete at least one head.
         """
-        count_before = len(self._messages)
+        self._drop_taken_bounds()
         super().data_received(data)
-        # aiohttp takes messages out of its queue in a task, so it only grows here.
-        count = len(self._messages) - count_before
+        return self._record_messages()
+
+    def _drop_taken_bounds(self) -> None:
+        # Listeners without limits on single requests do not take them.
+        while len(self._queued_bounds) > len(self._messages):
+            self._queued_bounds.popleft()
+
+    def _record_messages(self) -> bool:
+        """Record the requests that the parser has completed the heads of.
+
+        aiohttp takes requests out of its queue in a task, so the queue only grows since
+        the bounds of the taken ones were dropped.
+
+        :returns: whether there are any.
+        """
+        count = len(self._messages) - len(self._queued_bounds)
         if not count:
             return False
         bounds = self._read_bounds()
@@ -186,9 +204,6 @@
         if self._head_bounds is not None:
             first = merge_bounds(self._head_bounds, bounds)
         self._queued_bounds.extend((first, *((count - 1) * (bounds,))))
-        while len(self._queued_bounds) > len(self._messages):
-            # Listeners without limits on single requests do not take them.
-            self._queued_bounds.popleft()
         self._head_bounds = None
         self._head_bytes = 0
         self._head_tail = b""
@@ -196,10 +211,8 @@
         message, self._body = self._messages[-1]
         self._body_left_bytes = None
         if not isinstance(message, RawRequestMessage):
-            # An error in a head. The connection closes with the response to it.
+            # An error in a head or a body. The connection closes with the response.
             self._is_reading = False
-        elif not self._body.is_eof() and not message.chunked:
-            self._body_left_bytes = int(message.headers.get("Content-Length", 0))
         return True
 
     def _get_max_head_bytes(self) -> int:
@@ -211,7 +224,9 @@
     def _reject_head(self) -> None:
         """Refuse the unfinished head after the requests that were read before it."""
         self._is_head_too_large = True
-        if not self._feed(INVALID_BYTE):
+        self._is_reading = False
+        if not self._feed(INVALID_BYTE) and self._is_answered:
+            # The parser waits for nothing.
             self.force_close()
 
     def handle_error(
@@ -256,7 +271,10 @@
 
         :param arguments: as aiohttp's handler takes them.
         """
+        self._drop_taken_bounds()
         finished = await super().finish_response(*arguments)
+        # What arrived behind a request to upgrade the connection is parsed just now.
+        self._record_messages()
         self._is_answered = True
         return finished
 
--- a/tests/daemon/test_changed_limits.py
+++ b/tests/daemon/test_changed_limits.py
@@ -451,12 +451,18 @@
         b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
         b"3\r\nabc\r\n0\r\n\r\n"
     )
+    # What arrives behind it is parsed when it is answered.
+    UPGRADE = (
+        b"GET / HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\n"
+        b"Upgrade: websocket\r\n\r\n"
+    )
     REQUESTS = (
         (make_request(), 0),
         (make_request(10, b"\r\n\r\nGET / HTTP/1.1\r\n\r\n"), 22),
         (make_request(10, b""), 0),
         (b"\r\n" + make_request(10, b"x"), 1),
         (CHUNKED, 3),
+        (UPGRADE, 0),
     )
 
     async def test_segments_do_not_change_the_requests(self):
@@ -503,6 +509,23 @@
         self.assertEqual(self.handler.sizes, count * [5])
         self.assertEqual(await self.ask(LARGE_HEAD), 431)
 
+    async def test_head_without_end_behind_many_requests(self):
+        """Guards against requests cut because a later one is refused."""
+        await self.start()
+        for before in (self.UPGRADE, 100 * make_request(300)):
+            with self.subTest(before=before[:20]):
+                await self.connect()
+                self.handler.may_answer.clear()
+                await self.send_part(before)
+                self.writer.write(b"GET / HTTP/1.1\r\nA: " + b"a" * 4 * LOW_HEAD_BYTES)
+                await asyncio.sleep(0.1)
+                self.handler.may_answer.set()
+                statuses = [
+                    await self.read_status() for _ in range(before.count(b" HTTP/"))
+                ]
+                self.assertEqual(set(statuses), {200})
+                self.assertEqual(await self.read_status(), 431)
+
     async def test_nothing_is_read_behind_an_invalid_head(self):
         """Guards against work for what follows a head that ends the connection."""
         await self.start()
