Refuse a body whose framing is broken at once

Cause: the library queues the error behind the request and leaves the body open, so its reader waits.

Why this works: the error ends the body, whose reader refuses the request with 400 and closes the connection, as nobody knows where the next request begins. Counted and logged as rejected_malformed.

What failed before: test_broken_body_is_refused_at_once waited for 10 s; it passes now.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/bounded_connection.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/bounded_connection.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from aiohttp import StreamReader, web
-from aiohttp.http import RawRequestMessage
+from aiohttp.http import HttpProcessingError, RawRequestMessage
 
 from celeryferry_core.forwarding.caller_bounds import merge_bounds
 from celeryferry_core.forwarding.models import CallerBounds
@@ -208,11 +208,15 @@
         self._head_bytes = 0
         self._head_tail = b""
         self._idle_age = ZERO
+        unfinished_body = self._body
         message, self._body = self._messages[-1]
         self._body_left_bytes = None
         if not isinstance(message, RawRequestMessage):
             # An error in a head or a body. The connection closes with the response.
             self._is_reading = False
+            if unfinished_body is not None and not unfinished_body.is_eof():
+                unfinished_body.set_exception(message.exc)
+                unfinished_body.feed_eof()
         return True
 
     def _get_max_head_bytes(self) -> int:
@@ -236,13 +240,16 @@
         exc: BaseException | None = None,
         message: str | None = None,
     ) -> web.StreamResponse:
-        """Return the response to a head that is too large (called by aiohttp).
+        """Return the response to what can't be read (called by aiohttp).
 
         Other errors are answered as aiohttp does.
         """
-        if not self._is_head_too_large:
+        if not isinstance(exc, HttpProcessingError):
             return super().handle_error(request, status, exc, message)
-        response = web.Response(status=web.HTTPRequestHeaderFieldsTooLarge.status_code)
+        status = exc.code
+        if self._is_head_too_large:
+            status = web.HTTPRequestHeaderFieldsTooLarge.status_code
+        response = web.Response(status=status)
         response.force_close()
         return response
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/callers.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/callers.py
@@ -210,7 +210,11 @@
             target=request.raw_path,
             configuration_version=self._state.configuration.version,
         )
-        return self._respond(CallerResponse(STATUS_CODES[rejection]))
+        response = self._respond(CallerResponse(STATUS_CODES[rejection]))
+        if rejection is Rejection.MALFORMED:
+            # Nobody knows where the next request begins.
+            response.force_close()
+        return response
 
     async def _run(
         self, session: ForwardingSession, request: CallerRequest
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/requests.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/requests.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 
 from aiohttp import web
+from aiohttp.http import HttpProcessingError
 from result import Err, Ok, Result
 
 from celeryferry_core.forwarding.models import CallerBounds
@@ -22,6 +23,7 @@
     HEAD_TOO_LARGE = "head_too_large"
     BODY_TOO_LARGE = "body_too_large"
     BODY_LATE = "body_late"
+    MALFORMED = "malformed"
 
 
 STATUS_CODES = {
@@ -29,6 +31,7 @@
     Rejection.HEAD_TOO_LARGE: web.HTTPRequestHeaderFieldsTooLarge.status_code,
     Rejection.BODY_TOO_LARGE: web.HTTPRequestEntityTooLarge.status_code,
     Rejection.BODY_LATE: web.HTTPRequestTimeout.status_code,
+    Rejection.MALFORMED: web.HTTPBadRequest.status_code,
 }
 
 
@@ -70,6 +73,8 @@
                     return Err(Rejection.BODY_TOO_LARGE)
     except TimeoutError:
         return Err(Rejection.BODY_LATE)
+    except HttpProcessingError:
+        return Err(Rejection.MALFORMED)
     return Ok(bytes(body))
 
 
--- a/tests/daemon/test_changed_limits.py
+++ b/tests/daemon/test_changed_limits.py
@@ -26,6 +26,7 @@
 )
 from celeryferry_daemon._internal.forwarding.requests import (
     STATUS_CODES,
+    Rejection,
     read_bounded_body,
 )
 from celeryferry_standins.processes import wait_until
@@ -86,7 +87,10 @@
         timeout = asyncio.timeout(TEST_TIMEOUT.total_seconds())
         result = await read_bounded_body(request, read_bounds, timeout)
         if result.is_err():
-            return web.Response(status=STATUS_CODES[result.unwrap_err()])
+            response = web.Response(status=STATUS_CODES[result.unwrap_err()])
+            if result.unwrap_err() is Rejection.MALFORMED:
+                response.force_close()
+            return response
         self.sizes.append(len(result.unwrap()))
         await self.may_answer.wait()
         return web.Response()
@@ -526,6 +530,19 @@
                 self.assertEqual(set(statuses), {200})
                 self.assertEqual(await self.read_status(), 431)
 
+    async def test_broken_body_is_refused_at_once(self):
+        """Guards against a caller that waits until its deadline for a refusal."""
+        head = self.CHUNKED.partition(b"3\r\n")[0]
+        for part in (b"", head, head + b"3\r\nabc\r\n"):
+            with self.subTest(part=part):
+                await self.start()
+                if part:
+                    await self.send_part(part)
+                rest = (head + b"3\r\nabc\r\nno length\r\n")[len(part) :]
+                async with asyncio.timeout(TEST_TIMEOUT.total_seconds() / 2):
+                    self.assertEqual(await self.ask(rest), 400)
+                self.assertEqual(await self.read_status(), 0)
+
     async def test_nothing_is_read_behind_an_invalid_head(self):
         """Guards against work for what follows a head that ends the connection."""
         await self.start()
