Log requests that can't be read as bounded lines

A reader of standard error that stands still blocks the daemon, and a caller decides how much is written.

Cause: nothing handled what the library logs, so Python's last resort did, with a blocking write.

Why this works: the connection reports each request that it refuses unread, which is counted and logged as request_rejected within the rate limit of the log.

What the daemon itself reports through logbook, the end of one of its own tasks by an error, still goes to standard error.

--- a/packages/celeryferry-cli/src/celeryferry_cli/_internal/commands/explain_log.py
+++ b/packages/celeryferry-cli/src/celeryferry_cli/_internal/commands/explain_log.py
@@ -28,6 +28,7 @@
     "rejected_head_too_large": "431: the head exceeds the configured limit",
     "rejected_body_too_large": "413: the body exceeds the configured limit",
     "rejected_body_late": "408: the body did not arrive within the caller's time",
+    "rejected_malformed": "400: the head or the body is not HTTP",
     "unknown_timeout": "no answer within the time of the caller or the rule",
     "unknown_connection_lost": "the connection was lost after the request was sent",
     "unknown_bad_response": "the upstream sent an invalid answer",
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/bounded_connection.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/bounded_connection.py
@@ -36,6 +36,8 @@
 ZERO = timedelta(0)
 
 ReadBounds = Callable[[], CallerBounds]
+# Takes the status of the response and what is wrong.
+RecordUnreadable = Callable[[int, str], None]
 
 
 class BoundedConnection(web.RequestHandler):
@@ -56,6 +58,8 @@
     :param on_connected: called with the connection when it is established.
     :param starts_timeout_on_connect: whether the first head counts as unfinished before
         its first byte has arrived.
+    :param record_unreadable: called for each request that is refused because it can't
+        be read; without it, aiohttp's logger has a message.
     :param options: keyword arguments for aiohttp's handler, in addition to
         ``PARSER_OPTIONS`` or in their place.
     :ivar bounds: limits at the first byte of the request that is being handled.
@@ -77,6 +81,7 @@
         "_on_connected",
         "_queued_bounds",
         "_read_bounds",
+        "_record_unreadable",
         "_starts_timeout_on_connect",
         "bounds",
     )
@@ -87,12 +92,14 @@
         read_bounds: ReadBounds,
         on_connected: Callable[["BoundedConnection"], None],
         starts_timeout_on_connect: bool = True,
+        record_unreadable: RecordUnreadable | None = None,
         **options: Any,
     ) -> None:
         super().__init__(server, **{**PARSER_OPTIONS, **options})
         self._read_bounds = read_bounds
         self._on_connected = on_connected
         self._starts_timeout_on_connect = starts_timeout_on_connect
+        self._record_unreadable = record_unreadable
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to wait for the first head."""
@@ -249,6 +256,10 @@
         status = exc.code
         if self._is_head_too_large:
             status = web.HTTPRequestHeaderFieldsTooLarge.status_code
+        if self._record_unreadable is None:
+            self.log_exception("Unreadable request", exc_info=exc)
+        else:
+            self._record_unreadable(status, str(exc))
         response = web.Response(status=status)
         response.force_close()
         return response
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/bounded_site.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/bounded_site.py
@@ -12,6 +12,7 @@
 from celeryferry_daemon._internal.bounded_connection import (
     BoundedConnection,
     ReadBounds,
+    RecordUnreadable,
 )
 
 BACKLOG = 1024
@@ -29,11 +30,13 @@
     :param handler_options: keyword arguments for aiohttp's connection handler.
     :param starts_timeout_on_connect: whether the timeout of the first head starts when
         the connection opens; otherwise it starts with the first byte.
+    :param record_unreadable: called for each request that can't be read.
     """
 
     max_connections: int
     handler_options: Mapping[str, Any]
     starts_timeout_on_connect: bool = True
+    record_unreadable: RecordUnreadable | None = None
 
 
 class _ClosingProtocol(asyncio.Protocol):
@@ -111,6 +114,7 @@
             self._read_bounds,
             self._connecting.discard,
             self._options.starts_timeout_on_connect,
+            self._options.record_unreadable,
             loop=asyncio.get_running_loop(),
             **self._options.handler_options,
         )
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
@@ -20,6 +20,9 @@
 from celeryferry_daemon._internal.forwarding.draining import DrainSchedule
 from celeryferry_daemon._internal.forwarding.follower import SourceFollower
 from celeryferry_daemon._internal.forwarding.health_inquiry import HealthInquiry
+from celeryferry_daemon._internal.forwarding.library_messages import (
+    log_library_messages,
+)
 from celeryferry_daemon._internal.forwarding.listener import (
     CallersServer,
     start_callers_listener,
@@ -145,6 +148,10 @@
             loop.add_signal_handler(signal_number, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload, "signal")
         self._log.make_non_blocking()
+        with log_library_messages(self._log):
+            await self._serve()
+
+    async def _serve(self) -> None:
         await self._listen()
         self._log.write("started", settings=self.settings, process_id=os.getpid())
         for follower in self._followers.values():
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/callers.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/callers.py
@@ -22,6 +22,7 @@
 from celeryferry_core.forwarding.rules import pick_services
 from celeryferry_core.forwarding.session import ForwardingSession
 from celeryferry_daemon._internal.forwarding.draining import DrainSchedule
+from celeryferry_daemon._internal.forwarding.library_messages import shorten_text
 from celeryferry_daemon._internal.forwarding.log_lines import LogWriter
 from celeryferry_daemon._internal.forwarding.messages import (
     CallerRequest,
@@ -197,6 +198,23 @@
         now = self._clock.monotonic()
         return self._drain_schedule.may_run(session.rule, deadline - now, now)
 
+    def record_unreadable(self, status: int, reason: str) -> None:
+        """Record a request that was refused because it can't be read.
+
+        :param status: status of the response.
+        :param reason: what is wrong.
+        """
+        rejection = Rejection.MALFORMED
+        if status == STATUS_CODES[Rejection.HEAD_TOO_LARGE]:
+            rejection = Rejection.HEAD_TOO_LARGE
+        self._metrics.count_rejected(rejection)
+        self._log.write_request(
+            "request_rejected",
+            True,
+            outcome=f"rejected_{rejection.value}",
+            reason=shorten_text(reason),
+        )
+
     def _reject(
         self, request: web.BaseRequest, request_id: str, rejection: Rejection
     ) -> web.StreamResponse:
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/listener.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/listener.py
@@ -55,6 +55,7 @@
             compute_max_connections(max_descriptors),
             HANDLER_OPTIONS,
             starts_timeout_on_connect=False,
+            record_unreadable=handler.record_unreadable,
         )
         self._is_draining = False
 
--- a/tests/daemon/test_callers_listener.py
+++ b/tests/daemon/test_callers_listener.py
@@ -44,7 +44,14 @@
     return asyncio.timeout(TIME_LEFT.total_seconds())
 
 
-class BodyLengthHandler:
+class QuietHandler:
+    """Handler that keeps nothing of requests that can't be read."""
+
+    def record_unreadable(self, status, reason):
+        """Do nothing."""
+
+
+class BodyLengthHandler(QuietHandler):
     """Handler that answers with the length of the body, or rejects the request."""
 
     async def handle(self, request, read_bounds):
@@ -214,7 +221,7 @@
         self.assertEqual(set(STATUS_CODES), set(Rejection))
 
 
-class CountingHandler:
+class CountingHandler(QuietHandler):
     """Handler that counts requests and answers them when it is told to.
 
     :ivar count: requests so far.
@@ -330,7 +337,7 @@
         self.assertEqual(await self.read_response(), b"")
 
 
-class EchoHandler:
+class EchoHandler(QuietHandler):
     """Handler that answers with the body as it was read."""
 
     async def handle(self, request, read_bounds):
--- a/tests/daemon/test_changed_limits.py
+++ b/tests/daemon/test_changed_limits.py
@@ -82,6 +82,9 @@
         self.may_answer.set()
         self.sizes: list[int] = []
 
+    def record_unreadable(self, status, reason):
+        """Do nothing."""
+
     async def handle(self, request, read_bounds):
         """Read the body within the limits and answer."""
         timeout = asyncio.timeout(TEST_TIMEOUT.total_seconds())
