Follow every changed setting, or refuse it by name

The log said that the settings were in force.

The client of the store kept the address of the start. The same for the length of watches, the number of callers' connections and the stated processor time; names and listening addresses were logged as changed, too.

The call that waits at the former address ends without a result, which is no failure, so nothing counts as lost; the next call is a listing, as revisions need not mean the same at another address; the contents stay in force. Settings that need a restart are refused by their names, and the others are followed. A file that stays wrong is logged once and not every 2 s.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/bounded_site.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/bounded_site.py
@@ -22,11 +22,12 @@
 MIN_CHECK_INTERVAL = timedelta(milliseconds=10)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ListenerOptions:
-    """Properties of a listener that do not change while it is open.
+    """Properties of a listener.
 
-    :param max_connections: maximum number of open connections.
+    :param max_connections: maximum number of open connections; may be changed while the
+        listener is open.
     :param handler_options: keyword arguments for aiohttp's connection handler.
     :param starts_timeout_on_connect: whether the timeout of the first head starts when
         the connection opens; otherwise it starts with the first byte.
@@ -55,7 +56,7 @@
     :param runner: runner of the application or server.
     :param ip: IP address to bind.
     :param port: port to bind.
-    :param options: properties that do not change.
+    :param options: properties of the listener.
     :param read_bounds: returns the limits in force.
     """
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/app.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable
 from datetime import timedelta
+from typing import Any
 
 import aioprometheus
 from aiohttp import web
@@ -40,6 +41,7 @@
 from celeryferry_daemon._internal.forwarding.settings import (
     ForwardingSettings,
     InvalidSettingsError,
+    keep_fixed_settings,
 )
 from celeryferry_daemon._internal.forwarding.state import HostState
 from celeryferry_daemon._internal.tasks import TaskSet
@@ -51,6 +53,7 @@
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=50)
 HOUSEKEEPING_INTERVAL = timedelta(milliseconds=250)
 SETTINGS_RELOAD_INTERVAL = timedelta(seconds=2)
+SIGNAL_CAUSE = "signal"
 LISTEN_BACKLOG = 512
 # Handlers for entry hosts and readiness do not wait, so they end much sooner.
 HANDLER_TIMEOUT = timedelta(milliseconds=100)
@@ -140,13 +143,15 @@
         # Listeners whose requests are answered at once.
         self._short_runners: list[web.AppRunner] = []
         self._stop_requested = asyncio.Event()
+        # Fields of the latest line about settings that can't be used.
+        self._rejection: dict[str, Any] = {}
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then finish running requests and stop."""
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._stop_requested.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload, "signal")
+        loop.add_signal_handler(signal.SIGHUP, self._reload, SIGNAL_CAUSE)
         self._log.make_non_blocking()
         with log_library_messages(self._log):
             await self._serve()
@@ -243,14 +248,30 @@
             self._reload("poll")
 
     def _reload(self, cause: str) -> None:
+        rejection: dict[str, Any] = {}
         match self._load_settings():
-            case Ok(settings) if settings != self.settings:
-                self.settings = settings
-                self._peers.replace_seeds(settings.seed_addresses)
-                self._state.replace_settings(settings)
-                self._log.write("settings_reloaded", cause=cause, settings=settings)
+            case Ok(read):
+                settings, names = keep_fixed_settings(self.settings, read)
+                if names:
+                    rejection = {"reason": "needs a restart", "names": names}
+                if settings != self.settings:
+                    self._replace_settings(settings)
+                    self._log.write("settings_reloaded", cause=cause, settings=settings)
             case Err(error):
-                self._log.write("settings_rejected", cause=cause, reason=str(error))
+                rejection = {"reason": str(error)}
+        # The file is read every two seconds, and may stay as it is.
+        if rejection and (cause == SIGNAL_CAUSE or rejection != self._rejection):
+            self._log.write("settings_rejected", cause=cause, **rejection)
+        self._rejection = rejection
+
+    def _replace_settings(self, settings: ForwardingSettings) -> None:
+        """Put settings in force wherever a copy of one is held (design, 10.13)."""
+        self.settings = settings
+        self._peers.replace_settings(settings)
+        self._state.replace_settings(settings)
+        self._callers_server.replace_max_descriptors(settings.max_descriptors)
+        for follower in self._followers.values():
+            follower.replace_settings(settings)
 
     async def _drain(self) -> None:
         now = self._clock.monotonic()
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/follower.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from celeryferry_core.environment import Clock, RandomSource
 from celeryferry_core.forwarding.positions import (
@@ -25,7 +25,9 @@
     Source,
     SourceChanges,
     SourceItem,
+    SourceUnavailableError,
 )
+from celeryferry_daemon._internal.forwarding.settings import ForwardingSettings
 from celeryferry_daemon._internal.forwarding.state import HostState
 
 # Pause after a change, so that changes in quick succession are read with one call.
@@ -65,6 +67,7 @@
     """
 
     __slots__ = (
+        "_call",
         "_can_watch",
         "_clock",
         "_failures",
@@ -72,6 +75,7 @@
         "_is_reading",
         "_items",
         "_log",
+        "_move_count",
         "_peer_availability",
         "_random",
         "_removals",
@@ -108,6 +112,9 @@
         # Revision in the era of the contents.
         self._removals_known_after = 0
         self._can_watch = False
+        # Limits the running call; None between calls.
+        self._call: asyncio.Timeout | None = None
+        self._move_count = 0
         self._failures = 0
         self._is_reading = asyncio.Event()
         self._peer_availability = Availability.UNKNOWN
@@ -178,6 +185,22 @@
             self._failures = 0
             self._update_availability("not read by this host")
 
+    def replace_settings(self, settings: ForwardingSettings) -> None:
+        """Follow the source at the address of other settings.
+
+        The contents stay in force. A call to the former address ends without a result,
+        which counts as no failure. Whether the revisions there mean the same is not
+        known before a listing, so the next call is one.
+        """
+        if not self.source.replace_settings(settings):
+            return
+        self._can_watch = False
+        self._failures = 0
+        self._move_count += 1
+        self._log.write("source_moved", source=self.source.name, revision=self.revision)
+        if self._call is not None:
+            self._call.reschedule(asyncio.get_running_loop().time())
+
     def set_peer_availability(self, availability: Availability) -> None:
         """Record whether any peer can read the source."""
         self._peer_availability = availability
@@ -189,23 +212,17 @@
         If all hosts start while the source is down, only the readers try it again; the
         others receive the contents from them.
         """
-        is_first_call = True
+        needs_call = True
         gone_count = 0
         while True:
-            if not is_first_call:
+            if not needs_call:
                 await self._is_reading.wait()
-            is_first_call = False
             asked = self.position
             is_listing = not self._can_watch
-            if is_listing:
-                # Contents that are older than the history could not be followed by a
-                # watch, so only the first read may be stale.
-                result = await self.source.read_all(may_be_stale=not self.has_contents)
-            else:
-                # A host that waits without knowing whether the source can be read
-                # would count as one that can't read it.
-                may_wait = self.reads_it is True
-                result = await self.source.watch(asked.revision, may_wait)
+            result = await self._call_source(asked, is_listing)
+            if result is None:
+                continue
+            needs_call = False
             match result:
                 case Ok(changes) if is_listing:
                     await self._apply_listing(asked, changes)
@@ -224,6 +241,34 @@
                     self._record_failure(str(error))
                     await asyncio.sleep(self._pick_retry_delay_s(self._failures))
 
+    async def _call_source(
+        self, asked: Position, is_listing: bool
+    ) -> Result[SourceChanges, SourceUnavailableError | HistoryGoneError] | None:
+        """Return the result of one call, None if the source has moved meanwhile."""
+        move_count = self._move_count
+        call = asyncio.timeout(None)
+        try:
+            async with call:
+                self._call = call
+                if is_listing:
+                    # Contents that are older than the history could not be followed by
+                    # a watch, so only the first read may be stale.
+                    result = await self.source.read_all(
+                        may_be_stale=not self.has_contents
+                    )
+                else:
+                    # A host that waits without knowing whether the source can be read
+                    # would count as one that can't read it.
+                    may_wait = self.reads_it is True
+                    result = await self.source.watch(asked.revision, may_wait)
+        except TimeoutError:
+            if not call.expired():
+                raise
+            return None
+        finally:
+            self._call = None
+        return result if move_count == self._move_count else None
+
     def list_changes(self, after: Position) -> tuple[Position, SourceChanges]:
         """Return the changes after a position for a peer.
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/listener.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/listener.py
@@ -63,6 +63,10 @@
         """Return the limits on callers in force."""
         return self._bounds.read(self._clock.monotonic())
 
+    def replace_max_descriptors(self, max_descriptors: int) -> None:
+        """Limit the open connections by another number of descriptors."""
+        self.options.max_connections = compute_max_connections(max_descriptors)
+
     def count_unanswered(self) -> int:
         """Return how many connections have a request or unsent bytes of a response."""
         return sum(connection.is_unanswered for connection in self.connections)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/peers.py
@@ -55,6 +55,7 @@
 )
 from celeryferry_daemon._internal.forwarding.log_lines import LogWriter
 from celeryferry_daemon._internal.forwarding.ports import SourceChanges
+from celeryferry_daemon._internal.forwarding.settings import ForwardingSettings
 from celeryferry_daemon._internal.forwarding.sharing import SharedSource
 from celeryferry_daemon._internal.forwarding.state import HostState
 
@@ -89,6 +90,7 @@
         "_log",
         "_logged_entry_set",
         "_logged_live",
+        "_processor_share",
         "_settle_timer",
         "_sources",
         "_state",
@@ -129,6 +131,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._is_leaving = False
         self._is_ready = is_ready
+        self._processor_share = own.processor_share
         self.entry_sets = EntrySets()
 
     async def run(self) -> None:
@@ -141,9 +144,10 @@
         finally:
             await self._connector.close_session()
 
-    def replace_seeds(self, seeds: tuple[str, ...]) -> None:
-        """Use other seeds from now on."""
-        self._fleet.seeds = seeds
+    def replace_settings(self, settings: ForwardingSettings) -> None:
+        """Use other seeds from now on, and state the processor time of other limits."""
+        self._fleet.seeds = settings.seed_addresses
+        self._processor_share = settings.processor_share
 
     def announce_leaving(self) -> None:
         """Report immediately that this host is stopping."""
@@ -191,6 +195,7 @@
             own,
             is_ready=self._is_ready(),
             is_leaving=self._is_leaving,
+            processor_share=self._processor_share,
             load=self._load.update(sent_count, now),
             restarted=self._state.restarts.update(now),
             leaving=self._state.list_leaving(reports_all=self._fleet.is_relay),
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/ports.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/ports.py
@@ -18,6 +18,7 @@
     CallerRequest,
     CallerResponse,
 )
+from celeryferry_daemon._internal.forwarding.settings import ForwardingSettings
 
 
 class SourceUnavailableError(CeleryferryError):
@@ -163,6 +164,12 @@
         :param may_wait: whether to wait for changes. The adapter decides how long.
         """
 
+    def replace_settings(self, settings: ForwardingSettings) -> bool:
+        """Use other settings from the next call on.
+
+        :returns: whether the source is now read from another address.
+        """
+
     def decode(self, item: SourceItem) -> Change | None:
         """Return the change that an item represents, None if it is ignored."""
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/settings.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/settings.py
@@ -6,6 +6,17 @@
 
 from celeryferry_core.exceptions import CeleryferryError
 
+# The process has begun with them: other hosts know it by these, and its listeners are
+# bound. A change needs a restart.
+FIXED_SETTINGS = (
+    "host_id",
+    "failure_domain",
+    "callers_address",
+    "readiness_address",
+    "peers_address",
+    "entry_hosts_address",
+)
+
 
 class InvalidSettingsError(CeleryferryError):
     """The settings can't be used. The message says why."""
@@ -64,3 +75,20 @@
     max_descriptors: int
     heartbeat_interval: timedelta = timedelta(milliseconds=1200)
     processor_share: float = 1.0
+
+
+def keep_fixed_settings(
+    current: ForwardingSettings, read: ForwardingSettings
+) -> tuple[ForwardingSettings, tuple[str, ...]]:
+    """Return the settings that can come into force, and what they leave out.
+
+    :param current: settings in force.
+    :param read: settings that were read again.
+    :returns: the read settings with the fixed ones of those in force, and the names of
+        the fixed ones that differ.
+    """
+    names = tuple(
+        name for name in FIXED_SETTINGS if getattr(read, name) != getattr(current, name)
+    )
+    kept = {name: getattr(current, name) for name in names}
+    return msgspec.structs.replace(read, **kept), names
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/state.py
@@ -135,7 +135,8 @@
         pool.questions.is_source_read = self.registry.is_current
 
     def replace_settings(self, settings: ForwardingSettings) -> None:
-        """Apply the limits of changed settings: extra requests and cold upstreams."""
+        """Apply the limits and times of changed settings."""
+        self._contact_time = settings.contact_time
         self._holding_time = get_holding_time(settings.heartbeat_interval)
         self.warmup.replace_bounds(settings.cold_excess, settings.cold_tolerance)
         self.session_context.budgets.limits = _read_budget_limits(settings)
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/sources.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/sources.py
@@ -16,6 +16,7 @@
     UpstreamRejected,
     UpstreamUnlisted,
 )
+from celeryferry_daemon._internal.forwarding.settings import ForwardingSettings
 from celeryferry_daemon.platform.entries import (
     CONFIGURATION_KEY,
     EVACUATED_DOMAIN_PREFIX,
@@ -58,6 +59,15 @@
         """
         return await self._client.watch(ALL_KEYS_PREFIX, after_revision, may_wait)
 
+    def replace_settings(self, settings: ForwardingSettings) -> bool:
+        """Call the store that the settings name from the next call on.
+
+        :returns: whether that is another address.
+        """
+        return self._client.replace_settings(
+            settings.store_address, settings.contact_time
+        )
+
     def decode(self, item: SourceItem) -> Change | None:
         """Return the change that an entry or its removal represents.
 
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/platform/store.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/platform/store.py
@@ -74,21 +74,34 @@
     :param address: ``ip:port`` of the store.
     :param contact_time: time after a failure of the store or the network within which
         the current state must be known again.
+    :ivar address: ``ip:port`` that the next call goes to.
     :ivar watch_wait: longest time for which the store may hold a watch.
     :ivar watch_timeout: time after which a watch without a response times out.
     """
 
-    __slots__ = ("_session", "_url", "watch_timeout", "watch_wait")
+    __slots__ = ("_session", "address", "watch_timeout", "watch_wait")
 
     def __init__(self, address: str, contact_time: timedelta) -> None:
-        self._url = f"http://{address}"
-        self.watch_wait = contact_time * WATCH_TIME_FRACTION
-        self.watch_timeout = self.watch_wait + contact_time * WATCH_MARGIN_FRACTION
+        self.address = address
+        self.replace_settings(address, contact_time)
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(keepalive_timeout=30.0),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
 
+    def replace_settings(self, address: str, contact_time: timedelta) -> bool:
+        """Call another address, or wait for other times, from the next call on.
+
+        Idle connections to a former address close within 30 s.
+
+        :returns: whether the address has changed.
+        """
+        has_changed = address != self.address
+        self.address = address
+        self.watch_wait = contact_time * WATCH_TIME_FRACTION
+        self.watch_timeout = self.watch_wait + contact_time * WATCH_MARGIN_FRACTION
+        return has_changed
+
     async def close(self) -> None:
         """Close all connections to the store."""
         await self._session.close()
@@ -184,7 +197,7 @@
         )
         try:
             async with self._session.get(
-                self._url + path, params=params, timeout=client_timeout
+                f"http://{self.address}{path}", params=params, timeout=client_timeout
             ) as response:
                 body = await read_bounded(response, MAX_BODY_BYTES)
                 status, is_usable = response.status, is_answer(response)
@@ -195,7 +208,7 @@
             OSError,
             ValueError,
         ) as error:
-            return Err(SourceUnavailableError(f"{path}: {error!r}"))
+            return Err(SourceUnavailableError(f"{self.address}{path}: {error!r}"))
         if status == HISTORY_GONE_STATUS:
             return Err(
                 HistoryGoneError(
