--- a/packages/celeryferry-core/src/celeryferry_core/forwarding/caller_bounds.py
+++ b/packages/celeryferry-core/src/celeryferry_core/forwarding/caller_bounds.py
@@ -5,8 +5,7 @@
 from celeryferry_core.forwarding.models import CallerBounds
 
 # A request that was sent just before a change arrives after it, or waits in a socket
-# buffer while the process is busy. The time is shorter than the one after which the
-# users' platform takes a host for regressing (250 ms).
+# buffer while the process is busy.
 FORMER_BOUNDS_TIME = timedelta(milliseconds=200)
 
 
