Move the store, change settings files and limit heads in the soak

The store now also moves to another address, which all settings files name, some with SIGHUP and some without, and some cut off for a moment. Each third version limits heads to 1,000 bytes, a fifth of the requests are larger, and the judge finds refusals that no version in force explains, and runs that only an older version allows.

--- a/packages/celeryferry-standins/src/celeryferry_standins/platform/fleet.py
+++ b/packages/celeryferry-standins/src/celeryferry_standins/platform/fleet.py
@@ -50,13 +50,7 @@
         :param settings: settings that all hosts share.
         :param environment: further environment variables.
         """
-        host_settings = {
-            "node_name": self.name,
-            "zone": self.zone,
-            "bind_addrs": self.addresses,
-        }
-        path = folder / f"{self.name}.json"
-        path.write_bytes(msgspec.json.encode(settings | host_settings))
+        path = self.write_settings(folder, settings)
         self.process = ManagedProcess(
             self.name,
             "celeryferry_daemon.platform",
@@ -65,6 +59,28 @@
             {"CELERYFERRY_BOOT": str(path), **environment},
         )
 
+    def write_settings(
+        self, folder: Path, settings: dict[str, object], is_cut_off: bool = False
+    ) -> Path:
+        """Write the settings file of this host.
+
+        :param folder: receives the file.
+        :param settings: settings that all hosts share.
+        :param is_cut_off: whether the second half of the file is missing.
+        :returns: path of the file.
+        """
+        host_settings = {
+            "node_name": self.name,
+            "zone": self.zone,
+            "bind_addrs": self.addresses,
+        }
+        content = msgspec.json.encode(settings | host_settings)
+        if is_cut_off:
+            content = content[: len(content) // 2]
+        path = folder / f"{self.name}.json"
+        path.write_bytes(content)
+        return path
+
     def close(self) -> None:
         """Kill the process and release its ports."""
         if self.process is not None:
--- a/packages/celeryferry-standins/src/celeryferry_standins/platform/store.py
+++ b/packages/celeryferry-standins/src/celeryferry_standins/platform/store.py
@@ -8,6 +8,8 @@
 import msgspec
 from aiohttp import web
 
+from celeryferry_core.addresses import split_address
+
 OK = 200
 NOT_FOUND = 404
 HISTORY_GONE = 410
@@ -56,6 +58,7 @@
         self._oldest_revision = self.revision
         self._changed = asyncio.Condition()
         self._runner: web.AppRunner | None = None
+        self._sites: list[web.TCPSite] = []
 
     async def start(self) -> None:
         """Listen on a loopback address."""
@@ -68,10 +71,28 @@
             app, shutdown_timeout=0.1, handler_cancellation=True
         )
         await self._runner.setup()
-        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
-        ip, port = self._runner.addresses[0][:2]
+        await self.open_address()
+
+    async def open_address(self) -> None:
+        """Serve at a new loopback address, too, which is the address from now on."""
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        self._sites.append(site)
+        ip, port = self._runner.addresses[-1][:2]
         self.address = f"{ip}:{port}"
 
+    async def close_former_addresses(self) -> None:
+        """Refuse connections at all addresses but the latest, and end the open ones."""
+        while len(self._sites) > 1:
+            await self._sites.pop(0).stop()
+        _, port = split_address(self.address)
+        for connection in self._runner.server.connections:
+            transport = connection.transport
+            if transport is None:
+                continue
+            if transport.get_extra_info("sockname")[1] != port:
+                transport.abort()
+
     async def stop(self) -> None:
         """Stop listening."""
         if self._runner is not None:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -19,6 +19,9 @@
 ADDED_PATH = "/added/1"
 PATHS = (ORDER_PATH, LOOKUP_PATH, MOVED_PATH, ADDED_PATH)
 PATH_WEIGHTS = (4, 2, 2, 2)
+# Some heads are between the two limits that versions of the configuration set.
+LARGE_COOKIE_BYTES = 2500
+LARGE_HEAD_FRACTION = 0.2
 
 
 @dataclass(slots=True)
@@ -28,6 +31,7 @@
     Times are monotonic, in seconds.
 
     :ivar status: status of the complete answer, None without one.
+    :ivar has_large_head: whether only some versions allow its head.
     :ivar is_given_up: whether the caller closed the connection at its deadline.
     """
 
@@ -40,6 +44,7 @@
     body: bytes = b""
     answered_id: str = ""
     is_given_up: bool = False
+    has_large_head: bool = False
 
     @property
     def is_order(self) -> bool:
@@ -90,12 +95,14 @@
         request_id = f"{host.name}/{self._name}-{len(self.exchanges)}"
         (path,) = self._random.choices(PATHS, PATH_WEIGHTS)
         exchange = Exchange(request_id, host, path, time.monotonic())
+        exchange.has_large_head = self._random.random() < LARGE_HEAD_FRACTION
+        cookie = "c" * (LARGE_COOKIE_BYTES if exchange.has_large_head else 1)
         method = "POST" if exchange.is_order else "GET"
         self.exchanges.append(exchange)
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: a.example\r\n"
             f"X-Request-Id: {request_id}\r\nX-Deadline-Ms: {DEADLINE_MS}\r\n"
-            "Content-Length: 0\r\n\r\n"
+            f"Cookie: {cookie}\r\nContent-Length: 0\r\n\r\n"
         )
         is_open = False
         try:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,6 +10,7 @@
 from celeryferry_standins.platform.store import StoreCopy
 from celeryferry_standins.platform.upstream import PlatformUpstream
 from celeryferry_standins.processes import wait_until
+from tests.soak.callers import LARGE_COOKIE_BYTES
 from tests.soak.history import DRAIN_S, STORE, Drain, History, Span, Version
 
 MAX_GAP_S = 1.2
@@ -32,6 +33,9 @@
 MIN_REWRITE_S = 0.5
 MAX_REWRITE_S = 1.5
 MAX_STALE_S = 3.0
+# Hosts read their settings every 2 s, and are paused for up to 2 s.
+MOVE_OVERLAP_S = 6.0
+MAX_CUT_OFF_S = 1.0
 # Upstreams of a service without requests. They start together from time to time, and
 # each heartbeat changes their entries while they are cold.
 BEAT_INTERVAL_S = 0.15
@@ -70,6 +74,7 @@
         self._version = 1
         self._publishing = asyncio.Lock()
         self._is_store_busy = False
+        self._is_store_moving = False
         self._copies: list[tuple[float, StoreCopy]] = []
         # What was written last, None for a removal, with the time of the write.
         self._writes: dict[str, tuple[float, object]] = {}
@@ -87,7 +92,7 @@
         faults = (
             *(self.stop_as_planned, self.kill, self.pause, self.reload),
             *(self.lose_store, self.crash_upstream, self.leave, self.ask_for_pause),
-            *(self.drain, self.remove, self.slow_down),
+            *(self.drain, self.remove, self.slow_down, self.move_store),
             # The rules on configurations need several versions in a run.
             *(2 * (self.change_configuration,)),
             *(2 * (self.restore_store,) if self._restores_store else ()),
@@ -242,6 +247,33 @@
             self._fleet.store.is_down = False
         self._is_store_busy = False
 
+    async def move_store(self) -> None:
+        """Let the store serve at another address, and close the former one later.
+
+        The settings of all hosts name it, some with a signal and some without, and some
+        files are cut off for a moment.
+        """
+        if self._is_store_moving:
+            return
+        self._is_store_moving = True
+        await self._fleet.store.open_address()
+        self._note("store moves")
+        await asyncio.gather(*map(self._change_settings, self._fleet.hosts))
+        await asyncio.sleep(MOVE_OVERLAP_S)
+        await self._fleet.store.close_former_addresses()
+        self._note("former address of the store closed")
+        self._is_store_moving = False
+
+    async def _change_settings(self, host: PlatformHost) -> None:
+        folder, settings = self._fleet.folder, self._fleet.settings
+        # A process that starts must find the whole file.
+        if host.name not in self._busy_hosts and self._random.random() < 0.5:
+            host.write_settings(folder, settings, is_cut_off=True)
+            await asyncio.sleep(self._random.uniform(0, MAX_CUT_OFF_S))
+        host.write_settings(folder, settings)
+        if host.name not in self._busy_hosts and self._random.random() < 0.5:
+            host.process.reload()
+
     async def restore_store(self) -> None:
         """Let the store be away, and come back from a copy some seconds old.
 
@@ -306,7 +338,13 @@
             for route in configuration["routes"]
         }
         number = configuration["version"]
-        version = Version(number, services, published_at, acked_at or published_at)
+        version = Version(
+            number,
+            services,
+            published_at,
+            acked_at or published_at,
+            configuration["limits"]["max_header_bytes"] > LARGE_COOKIE_BYTES,
+        )
         self.history.versions.append(version)
 
     async def _with_upstream(self, name: str, act) -> None:
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -32,12 +32,14 @@
     :param services: services of each route, by the start of the path.
     :param published_at: time at which the operators sent it.
     :param acked_at: time at which the store first acknowledged it.
+    :param allows_large_heads: whether the limit on heads is the higher one.
     """
 
     number: int
     services: dict[str, frozenset[str]]
     published_at: float
     acked_at: float
+    allows_large_heads: bool = True
 
     def get_services(self, path: str) -> frozenset[str] | None:
         """Return the services that may run a request, None without a route."""
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -12,6 +12,7 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 OK = 200
 NOT_FOUND = 404
+HEAD_TOO_LARGE = 431
 FIRST_SERVER_ERROR = 500
 
 
@@ -85,7 +86,8 @@
         if exchange.answered_id not in ("", exchange.request_id):
             broken.append("MIXED")
     is_client_error = status is not None and OK < status < FIRST_SERVER_ERROR
-    if is_client_error and status not in (*NOT_RUN_STATUSES, NOT_FOUND):
+    by_version = (NOT_FOUND, HEAD_TOO_LARGE)
+    if is_client_error and status not in (*NOT_RUN_STATUSES, *by_version):
         broken.append("DENIED")
     is_lost = status is None and not exchange.is_given_up and run_count > 0
     if is_lost and not faults.has_excuse(
@@ -110,8 +112,13 @@
         version.get_services(exchange.path) is None for version in versions
     ):
         broken.append("DENIED")
+    if exchange.status == HEAD_TOO_LARGE and (
+        not exchange.has_large_head or all(v.allows_large_heads for v in versions)
+    ):
+        broken.append("DENIED")
     if run_by and not any(
         run_by <= (version.get_services(exchange.path) or frozenset())
+        and (version.allows_large_heads or not exchange.has_large_head)
         for version in versions
     ):
         broken.append("CONFIG")
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -15,6 +15,9 @@
 
 # Versions of the configuration move a route between the two in turn.
 MOVED_SERVICES = ("left", "right")
+# Limits on heads, below and above the large ones of the callers.
+LOW_HEAD_BYTES, HIGH_HEAD_BYTES = 1000, 16_384
+LOW_LIMIT_EACH = 3
 SERVICES = ("s0", "s1", "orders", *MOVED_SERVICES)
 CALLER_COUNT = 12
 WORK_TIME = timedelta(milliseconds=40)
@@ -64,8 +67,8 @@
 def make_configuration(version: int) -> dict:
     """Return a version of the configuration.
 
-    Each version moves a route to another service, and each second one adds or removes a
-    route.
+    Each version moves a route to another service, each second one adds or removes a
+    route, and each third one has a low limit on heads.
     """
     moved = {
         "name": "moved",
@@ -88,7 +91,13 @@
         {"name": name, "max_conns": 80, "warmup_s": 1.0, "warmup_per_s": 50.0}
         for name in (*SERVICES, BEATING_SERVICE)
     ]
-    return {"version": version, "routes": routes, "backends": backends}
+    is_low = version % LOW_LIMIT_EACH == 0
+    return {
+        "version": version,
+        "routes": routes,
+        "backends": backends,
+        "limits": {"max_header_bytes": LOW_HEAD_BYTES if is_low else HIGH_HEAD_BYTES},
+    }
 
 
 async def run_soak(
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -6,7 +6,13 @@
 
 from celeryferry_standins.platform.fleet import PlatformHost
 from celeryferry_standins.platform.upstream import PlatformUpstream
-from tests.soak.callers import ADDED_PATH, MOVED_PATH, ORDER_PATH, Exchange
+from tests.soak.callers import (
+    ADDED_PATH,
+    LARGE_COOKIE_BYTES,
+    MOVED_PATH,
+    ORDER_PATH,
+    Exchange,
+)
 from tests.soak.history import STORE, Drain, History, Span, Version
 from tests.soak.judge import find_violations
 from tests.soak.run import make_configuration, run_soak
@@ -136,6 +142,29 @@
         self.send(MOVED_PATH, 104.0, status=503)
         self.assertEqual(self.judge(), [])
 
+    def test_large_heads(self):
+        """Guards against missing a refusal or a run by the limit of another version.
+
+        Version 3 lowers the limit at 200 s.
+        """
+        services = self.history.versions[1].services
+        self.history.versions.append(Version(3, services, 199.9, 200.0, False))
+        for sent_at, status, has_large_head, expected in (
+            (150.0, 431, True, ["DENIED"]),
+            (202.0, 431, True, []),
+            (202.0, 431, False, ["DENIED"]),
+            (203.1, 431, True, []),
+            (202.0, 200, True, []),
+            (203.1, 200, True, ["CONFIG"]),
+            (203.1, 200, False, []),
+        ):
+            with self.subTest(sent_at=sent_at, status=status, large=has_large_head):
+                self.clear()
+                service = "right" if status == 200 else ""
+                self.send(MOVED_PATH, sent_at, service, status)
+                self.exchanges[0].has_large_head = has_large_head
+                self.assertEqual(self.judge(), expected)
+
     def test_former_service(self):
         """Guards against missing a request that the former service runs too late."""
         self.send(MOVED_PATH, 103.1, "left")
@@ -229,3 +258,9 @@
         self.assertEqual(services, ["right", "left", "right", "left", "right"])
         added = ["added" in each for each in routes]
         self.assertEqual(added, [False, True, True, False, False])
+        limits = {
+            make_configuration(each)["limits"]["max_header_bytes"]
+            for each in range(1, 6)
+        }
+        self.assertLess(min(limits), LARGE_COOKIE_BYTES)
+        self.assertGreater(max(limits), LARGE_COOKIE_BYTES)
