Keep the ports of test fleets reserved until they are used

Cause: the fleet of the arrangement with owners chose a port by binding and closing a socket, and listened on it later. In between the kernel may give the port to any socket, also to an outgoing connection of the same test.

The demo's launcher keeps its own way: it tries again with other ports.

--- a/packages/celeryferry-standins/src/celeryferry_standins/platform/fleet.py
+++ b/packages/celeryferry-standins/src/celeryferry_standins/platform/fleet.py
@@ -1,6 +1,5 @@
 """A small fleet on the platform: store, upstreams, and daemons as processes."""
 
-import socket
 from collections.abc import Iterable, Mapping
 from datetime import timedelta
 from pathlib import Path
@@ -10,6 +9,7 @@
 
 from celeryferry_standins.platform.store import PlatformStore
 from celeryferry_standins.platform.upstream import PlatformUpstream
+from celeryferry_standins.ports import reserve_port
 from celeryferry_standins.processes import ManagedProcess
 
 ZONES = ("za", "zb", "zc")
@@ -29,7 +29,7 @@
     def __init__(self, name: str, zone: str) -> None:
         self.name = name
         self.zone = zone
-        self._reserved_sockets = [_reserve_port() for _ in _LISTENER_NAMES]
+        self._reserved_sockets = [reserve_port() for _ in _LISTENER_NAMES]
         self.addresses = {
             listener: f"127.0.0.1:{reserved.getsockname()[1]}"
             for listener, reserved in zip(
@@ -168,14 +168,3 @@
             for host in self.hosts
             if host.process is not None
         )
-
-
-def _reserve_port() -> socket.socket:
-    """Reserve a port, so that the kernel chooses it for no other process.
-
-    The daemon can still listen on it.
-    """
-    reserved = socket.socket()
-    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    reserved.bind(("127.0.0.1", 0))
-    return reserved
--- a/tests/daemon/fleet.py
+++ b/tests/daemon/fleet.py
@@ -1,7 +1,7 @@
 """Fleet of daemons in one process, with a fake configuration service and host list."""
 
 import asyncio
-import socket
+import contextlib
 import time
 from datetime import timedelta
 
@@ -21,6 +21,7 @@
 from celeryferry_daemon._internal.app import Daemon
 from celeryferry_daemon._internal.peers.server import start_listener
 from celeryferry_daemon._internal.roles import build_no_roles
+from celeryferry_standins.ports import reserve_port
 
 TOKEN = "a-token-of-this-test"
 DOMAINS = ("agadir-a", "taroudant-b", "tiznit-c")
@@ -138,12 +139,6 @@
         return web.json_response({"hosts": self.hosts, "leaving_upstreams": []})
 
 
-def find_free_address():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 class Fleet:
     """Daemons with the fake services that they read; stops all of them at its end."""
 
@@ -151,6 +146,12 @@
         self.services = FakeServices()
         self.daemons = {}
         self.logs = {}
+        self._reserved = contextlib.ExitStack()
+
+    def reserve_address(self):
+        """Return an address that nobody else gets before the end of the fleet."""
+        reserved = self._reserved.enter_context(reserve_port())
+        return f"127.0.0.1:{reserved.getsockname()[1]}"
 
     async def __aenter__(self):
         await self.services.start()
@@ -161,10 +162,14 @@
             if not daemon.stopped.is_set():
                 await daemon._stop()
         await self.services.stop()
+        self._reserved.close()
 
     def list_host(self, number, domain):
         host = Host(
-            f"{domain}-{number}", domain, find_free_address(), find_free_address()
+            f"{domain}-{number}",
+            domain,
+            self.reserve_address(),
+            self.reserve_address(),
         )
         self.services.hosts.append(
             {
--- a/tests/daemon/test_configuration.py
+++ b/tests/daemon/test_configuration.py
@@ -10,7 +10,6 @@
 from tests.daemon.fleet import (
     Fleet,
     RecordingLog,
-    find_free_address,
     make_text,
     wait_until,
     wait_until_ready,
@@ -225,7 +224,7 @@
             daemons = await fleet.start(1, ("agadir-a",))
             await wait_until(daemons[0].ready.is_set)
             host = fleet.list_host(1, "agadir-a")
-            late = fleet.make_daemon(host, service=find_free_address())
+            late = fleet.make_daemon(host, service=fleet.reserve_address())
             await late.start()
             await wait_until(late.ready.is_set)
             await wait_until(
--- a/tests/daemon/test_peers.py
+++ b/tests/daemon/test_peers.py
@@ -17,7 +17,8 @@
 from celeryferry_core.models.topology import Host
 from celeryferry_daemon._internal.peers.client import MAX_LINE_BYTES, HttpPeerClient
 from celeryferry_daemon._internal.peers.server import make_peer_app, start_listener
-from tests.daemon.fleet import find_free_address, wait_until
+from celeryferry_standins.ports import reserve_port
+from tests.daemon.fleet import wait_until
 
 TIMEOUT = timedelta(seconds=2)
 BATCH = SubqueryBatch("q1", "survey-desk", 1, 1, 1, msgspec.Raw(b"{}"), ())
@@ -70,7 +71,8 @@
         return [line async for line in lines]
 
     async def test_refused_connection_is_not_sent(self):
-        self.host = Host("gone", "agadir-a", "", find_free_address())
+        port = self.enterContext(reserve_port()).getsockname()[1]
+        self.host = Host("gone", "agadir-a", "", f"127.0.0.1:{port}")
         self.assertEqual(await self.fetch(), PeerFailureKind.NOT_SENT)
 
     async def test_only_refusing_statuses_count_as_rejected(self):
