Replace settings files of the stand-in platform in one step

The harness wrote the file in place, so a process could read it between its truncation and its content. The store's move cuts files off on purpose only for hosts that run.

--- a/packages/celeryferry-standins/src/celeryferry_standins/platform/fleet.py
+++ b/packages/celeryferry-standins/src/celeryferry_standins/platform/fleet.py
@@ -78,8 +78,10 @@
         if is_cut_off:
             content = content[: len(content) // 2]
         path = folder / f"{self.name}.json"
-        path.write_bytes(content)
-        return path
+        # A process that starts meanwhile reads the former file or this one.
+        temporary = path.with_suffix(".new")
+        temporary.write_bytes(content)
+        return temporary.replace(path)
 
     def close(self) -> None:
         """Kill the process and release its ports."""
