Count a request as unanswered while its handler has not started

Cause: the library takes a request out of its queue one turn of the event loop before the handler starts. The former code counted the head as unfinished until then; the connection now notices the end of a head itself, and in that turn the request was in no account. The host, which waits for a moment without a request, saw one and closed the connection.

Why this works: the request counts from the moment in which it leaves the queue until its response is written. That also closes the same gap in end_reading, which the former code had, too.

What failed before: test_request_counts_at_each_turn_of_the_event_loop, 0 in place of 1 in the second turn, and test_request_is_answered_if_ reading_ends_at_any_turn, closed without a response one turn after the arrival. Both pass now.

--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/bounded_connection.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/bounded_connection.py
@@ -264,9 +264,14 @@
         response.force_close()
         return response
 
-    def take_queued_bounds(self) -> None:
-        """Record that the next request is handled from now on."""
+    def take_request(self) -> None:
+        """Record that the next request leaves the queue.
+
+        Its handler starts in a later turn of the event loop, and the request counts as
+        unanswered in between, too.
+        """
         self.bounds = self._queued_bounds.popleft()
+        self._is_answered = False
 
     def read_request_bounds(self) -> CallerBounds:
         """Return the limits on the request that is being handled."""
--- a/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/listener.py
+++ b/packages/celeryferry-daemon/src/celeryferry_daemon/_internal/forwarding/listener.py
@@ -88,7 +88,7 @@
         writer: AbstractStreamWriter,
         task: asyncio.Task,
     ) -> web.BaseRequest:
-        protocol.take_queued_bounds()
+        protocol.take_request()
         return web.BaseRequest(message, payload, protocol, writer, task, self._loop)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/tests/daemon/test_callers_listener.py
+++ b/tests/daemon/test_callers_listener.py
@@ -327,6 +327,48 @@
         self.assertEqual(received.lower().count(b"connection: close"), 1)
         self.assertTrue(received.endswith(b"3"))
 
+    async def test_request_counts_at_each_turn_of_the_event_loop(self):
+        """Guards against an exit between the queue of the library and the handler.
+
+        The request is in neither for one turn.
+        """
+        await self.use_connection()
+        (connection,) = self.server.connections
+        self.handler.may_answer.clear()
+        connection.data_received(self.REQUEST)
+        counts = []
+        for _ in range(10):
+            counts.append(self.server.count_unanswered())
+            await asyncio.sleep(0)
+        self.assertEqual(counts, 10 * [1])
+
+    async def test_request_is_answered_if_reading_ends_at_any_turn(self):
+        """Guards against closing the connection of a request that was read."""
+        address = self.writer.get_extra_info("peername")
+        self.handler.may_answer.set()
+        kept = []
+        for _ in range(6):
+            reader, writer = await asyncio.open_connection(*address)
+            self.addCleanup(writer.close)
+            writer.write(self.REQUEST)
+            await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), TEST_TIMEOUT_S)
+            own_address = writer.get_extra_info("sockname")
+            connection = next(
+                each
+                for each in self.server.connections
+                if each.transport.get_extra_info("peername") == own_address
+            )
+            kept.append((connection, reader))
+        self.server.begin_drain()
+        for turns, (connection, reader) in enumerate(kept):
+            with self.subTest(turns=turns):
+                connection.data_received(self.REQUEST)
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                connection.end_reading()
+                received = await asyncio.wait_for(reader.read(), TEST_TIMEOUT_S)
+                self.assertIn(b" 200 ", received)
+
     async def test_head_that_has_begun_counts(self):
         """Guards against an exit while the rest of a request is on its way."""
         await self.use_connection()
--- a/tests/daemon/test_limits_machine.py
+++ b/tests/daemon/test_limits_machine.py
@@ -392,8 +392,9 @@
 
     def take(self):
         self.bounds = self._queued_bounds.pop()
+        self._is_answered = False
 
-    return mock.patch.object(BoundedConnection, "take_queued_bounds", take)
+    return mock.patch.object(BoundedConnection, "take_request", take)
 
 
 def forget_the_first_byte() -> Patch:
